Margin-gated same-extent inserts join the base batch

The base batch takes at most half of the room (rounded up), so inserts have a place. First try lost accesses: a base access whose limit part an earlier one of the batch had taken was left in no queue; it now goes back.

--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -1,21 +1,11 @@
 package milletyoke;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.*;
 import milletyoke.port.Action;
 import milletyoke.port.Event;
 import milletyoke.port.Outcome;
 import milletyoke.port.Provisioning;
-import milletyoke.port.Provisioning.Category;
-import milletyoke.port.Provisioning.Group;
-import milletyoke.port.Provisioning.Plan;
-import milletyoke.port.Provisioning.Repeats;
+import milletyoke.port.Provisioning.*;
 
 /**
  * All decisions of one initiator. Whoever hosts it makes one object for each start, calls {@link #decide} with the
@@ -60,22 +50,13 @@
 
     // Targets, under a dense index that lasts this life.
     private final Map<String, Integer> indexOf = new HashMap<>();
-    private String[] id = new String[0];
-    private String[] zone = new String[0];
-    private int[] shardOf = new int[0];
-    private boolean[] usable = new boolean[0];
-    private long[] launched = new long[0];
-    private double[] window = new double[0];
-    private int[] out = new int[0];
-    private int[] epoch = new int[0];
-    private double[] lag = new double[0];
-    private double[] lagDeviation = new double[0];
-    private long[] heardAt = new long[0];
-    private long[] halvedAt = new long[0];
-    private long[] silentSince = new long[0];
-    private long[] nextTrial = new long[0];
-    private long[] trialWait = new long[0];
-    private ArrayDeque<Spent>[] coldSpent;
+    private int targets;
+    private String[] id = {}, zone = {};
+    private int[] shardOf = {}, out = {}, life = {};
+    private boolean[] usable = {};
+    private long[] launched = {}, heardAt = {}, halvedAt = {}, nextTrial = {}, trialWait = {};
+    private double[] window = {}, lag = {}, lagDeviation = {};
+    private final List<ArrayDeque<Spent>> coldSpent = new ArrayList<>();
 
     // The list of targets.
     private long askAt = Long.MAX_VALUE;
@@ -89,6 +70,7 @@
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private final ArrayDeque<Long> further = new ArrayDeque<>();
     private double furtherSuccess = 1;
+    private double meanUnits;
 
     /** What a cold target was sent, and when. */
     private record Spent(long at, double units) {}
@@ -99,15 +81,9 @@
         Category category;
         Plan plan;
         Node node;
-        long agreedAt;
-        long abandonAt;
-        int relays;
+        long agreedAt, abandonAt, sentAt, ranSince;
+        int relays, outLife, outAt = -1, ranAt = -1;
         boolean answered;
-        int outAt = -1;
-        int outEpoch;
-        long sentAt;
-        int ranAt = -1;
-        long ranSince;
     }
 
     /** The node that holds one shard, whichever target that is now. */
@@ -122,10 +98,7 @@
     /** A volume's reservation queue at one node, with its three tags. */
     private static final class Reservation {
         final ArrayDeque<Held> queue = new ArrayDeque<>();
-        double weight;
-        double start;
-        double finish;
-        double extra;
+        double weight, start, finish, extra;
 
         double step(Held h) {
             return h.access.units() / weight;
@@ -155,7 +128,7 @@
         now = time;
         todo = new ArrayList<>();
         happened.forEach(this::learn);
-        for (int t = 0; t < id.length; t++) {
+        for (int t = 0; t < targets; t++) {
             watchForSilence(t);
         }
         nodes.values().forEach(this::serve);
@@ -173,8 +146,6 @@
             take(e);
         } else if (event instanceof Event.Ended e) {
             ended(e);
-        } else if (event instanceof Event.Probed e) {
-            probed(e);
         } else if (event instanceof Event.Flowing e) {
             flowing(e);
         } else if (event instanceof Event.ClientGone e) {
@@ -231,47 +202,40 @@
     }
 
     private int addTarget(String name) {
-        int t = id.length;
-        id = Arrays.copyOf(id, t + 1);
-        zone = Arrays.copyOf(zone, t + 1);
-        shardOf = Arrays.copyOf(shardOf, t + 1);
-        usable = Arrays.copyOf(usable, t + 1);
-        launched = Arrays.copyOf(launched, t + 1);
-        window = Arrays.copyOf(window, t + 1);
-        out = Arrays.copyOf(out, t + 1);
-        epoch = Arrays.copyOf(epoch, t + 1);
-        lag = Arrays.copyOf(lag, t + 1);
-        lagDeviation = Arrays.copyOf(lagDeviation, t + 1);
-        heardAt = Arrays.copyOf(heardAt, t + 1);
-        halvedAt = Arrays.copyOf(halvedAt, t + 1);
-        silentSince = Arrays.copyOf(silentSince, t + 1);
-        nextTrial = Arrays.copyOf(nextTrial, t + 1);
-        trialWait = Arrays.copyOf(trialWait, t + 1);
-        coldSpent = coldSpent == null ? newSpent(1) : Arrays.copyOf(coldSpent, t + 1);
-        coldSpent[t] = new ArrayDeque<>();
+        int t = targets++;
+        id = Arrays.copyOf(id, targets);
+        zone = Arrays.copyOf(zone, targets);
+        shardOf = Arrays.copyOf(shardOf, targets);
+        out = Arrays.copyOf(out, targets);
+        life = Arrays.copyOf(life, targets);
+        usable = Arrays.copyOf(usable, targets);
+        launched = Arrays.copyOf(launched, targets);
+        heardAt = Arrays.copyOf(heardAt, targets);
+        halvedAt = Arrays.copyOf(halvedAt, targets);
+        nextTrial = Arrays.copyOf(nextTrial, targets);
+        trialWait = Arrays.copyOf(trialWait, targets);
+        window = Arrays.copyOf(window, targets);
+        lag = Arrays.copyOf(lag, targets);
+        lagDeviation = Arrays.copyOf(lagDeviation, targets);
+        coldSpent.add(new ArrayDeque<>());
         id[t] = name;
         forget(t);
         return t;
     }
 
-    @SuppressWarnings("unchecked")
-    private static ArrayDeque<Spent>[] newSpent(int n) {
-        return new ArrayDeque[n];
-    }
-
     /** A target that has started anew: what was known of its former life no longer holds. */
     private void forget(int t) {
         window[t] = FIRST_WINDOW;
         out[t] = 0;
-        epoch[t]++;
+        life[t]++;
         lag[t] = 0;
         lagDeviation[t] = 0;
-        silentSince[t] = 0;
+        nextTrial[t] = 0;
     }
 
     private void findHolder(int shard, Node node) {
         node.target = -1;
-        for (int t = 0; t < id.length; t++) {
+        for (int t = 0; t < targets; t++) {
             boolean newer = node.target < 0 || launched[t] >= launched[node.target];
             if (shardOf[t] == shard && usable[t] && newer) {
                 node.target = t;
@@ -298,9 +262,10 @@
         h.abandonAt = now + e.ttl();
         long longest = Math.max(longestTtl.getOrDefault(category.name(), 0L), e.ttl());
         longestTtl.put(category.name(), longest);
-        h.agreedAt = now + category.agreedTime() - (longest - e.ttl());
+        h.agreedAt = Math.min(now + category.agreedTime() - (longest - e.ttl()), h.abandonAt - ANSWER_AHEAD);
         held.put(e.id(), h);
         taken.addLast(now);
+        meanUnits += (e.units() - meanUnits) * (meanUnits == 0 ? 1 : SMOOTHING);
         if (category.keyOrdered() && e.extent() != null) {
             turns.computeIfAbsent(e.extent(), k -> new Turns()).order.addLast(h);
         }
@@ -328,7 +293,7 @@
 
     private double room(Node n) {
         int t = n.target;
-        if (t < 0 || silentSince[t] > 0 || isCold(t)) {
+        if (t < 0 || nextTrial[t] > 0 || isCold(t)) {
             return 0;
         }
         return window[t] / (1 + out[t] + n.waiting);
@@ -397,26 +362,75 @@
         }
     }
 
-    /** One base batch by least finish tag, and the inserts that join it. */
+    /** One base batch by least finish tag, and beside each of it the inserts that may join; false if none was sent. */
     private boolean batch(Node node) {
         int room = roomAt(node);
+        int most = Math.min(BASE_BATCH, (room + 1) / 2);
         List<Held> base = new ArrayList<>();
-        while (base.size() < Math.min(BASE_BATCH, room)) {
-            Reservation r = leastFinish(node);
-            if (r == null) {
-                break;
-            }
+        for (Reservation r = leastFinish(node); base.size() < most && r != null; r = leastFinish(node)) {
             Held h = sendable(node, r);
-            r.queue.remove(h);
-            node.waiting--;
+            dequeue(h, r);
             node.virtualTime = r.start;
             r.start = r.finish;
             r.retag();
             base.add(h);
-            relay(h, node.target);
-            room--;
         }
-        return !base.isEmpty() && base.size() == BASE_BATCH && roomAt(node) > 0;
+        room -= base.size();
+        for (Held h : base) {
+            if (!relay(h, node.target)) {
+                enqueue(h, true); // an earlier one of this batch took the last of a limit or of a cold target's part
+            }
+            for (Held beside = insert(node, h, room); beside != null; beside = insert(node, h, room)) {
+                relay(beside, node.target);
+                room--;
+            }
+        }
+        return !base.isEmpty();
+    }
+
+    /** Takes out of its queue one access of the same extent, if the margin lets it join. */
+    private Held insert(Node node, Held beside, int room) {
+        String extent = beside.access.extent();
+        if (room <= 0 || extent == null || beside.category.keyOrdered()) {
+            return null;
+        }
+        for (Reservation r : node.reservations.values()) {
+            for (Held h : r.queue) {
+                if (extent.equals(h.access.extent()) && !h.category.keyOrdered() && mayRelay(h, node.target)
+                        && gapWith(node, r, r.extra + r.step(h)) <= margin(node)) {
+                    r.extra += r.step(h);
+                    dequeue(h, r);
+                    return h;
+                }
+            }
+        }
+        return null;
+    }
+
+    /** The widest gap among the waiting volumes' extra tags if one of them stood at the given tag. */
+    private static double gapWith(Node node, Reservation one, double extra) {
+        double least = extra;
+        double most = extra;
+        for (Reservation r : node.reservations.values()) {
+            if (r != one && !r.queue.isEmpty()) {
+                least = Math.min(least, r.extra);
+                most = Math.max(most, r.extra);
+            }
+        }
+        return most - least;
+    }
+
+    private double margin(Node node) {
+        double lightest = Double.POSITIVE_INFINITY;
+        for (Reservation r : node.reservations.values()) {
+            lightest = r.queue.isEmpty() ? lightest : Math.min(lightest, r.weight);
+        }
+        return MARGIN_STEPS * meanUnits / lightest;
+    }
+
+    private static void dequeue(Held h, Reservation r) {
+        r.queue.remove(h);
+        h.node.waiting--;
     }
 
     private Reservation leastFinish(Node node) {
@@ -440,10 +454,10 @@
 
     private int roomAt(Node node) {
         int t = node.target;
-        if (t < 0 || silentSince[t] > 0 && now < nextTrial[t]) {
+        if (t < 0 || now < nextTrial[t]) {
             return 0;
         }
-        return silentSince[t] > 0 ? 1 : (int) window[t] - out[t];
+        return nextTrial[t] > 0 ? 1 : (int) window[t] - out[t];
     }
 
     // ---- The rules: every send passes relay, which asks mayRelay ----
@@ -458,18 +472,18 @@
             further.addLast(now);
         }
         if (isCold(t)) {
-            coldSpent[t].addLast(new Spent(now, h.access.units()));
+            coldSpent.get(t).addLast(new Spent(now, h.access.units()));
         }
         if (out[t] == 0) {
             heardAt[t] = now;
         }
-        if (silentSince[t] > 0) {
+        if (nextTrial[t] > 0) {
             trialWait[t] = Math.min(2 * trialWait[t], (long) (LONGEST_TRIAL * shortestAgreed));
             nextTrial[t] = now + trialWait[t];
         }
         h.relays++;
         h.outAt = t;
-        h.outEpoch = epoch[t];
+        h.outLife = life[t];
         h.sentAt = now;
         out[t]++;
         todo.add(new Action.Relay(h.access.id(), h.abandonAt, id[t]));
@@ -517,10 +531,10 @@
         if (now < startedAt + fall && launched[t] < startedAt) {
             return false;
         }
-        while (!coldSpent[t].isEmpty() && coldSpent[t].peekFirst().at() <= now - fall) {
-            coldSpent[t].removeFirst();
+        while (!coldSpent.get(t).isEmpty() && coldSpent.get(t).peekFirst().at() <= now - fall) {
+            coldSpent.get(t).removeFirst();
         }
-        double spent = coldSpent[t].stream().mapToDouble(Spent::units).sum();
+        double spent = coldSpent.get(t).stream().mapToDouble(Spent::units).sum();
         return spent + h.access.units() <= coldPart(t);
     }
 
@@ -592,7 +606,7 @@
         }
         int t = h.outAt;
         h.outAt = -1;
-        if (h.outEpoch == epoch[t]) {
+        if (h.outLife == life[t]) {
             out[t]--;
         }
         judge(t, h, e);
@@ -658,25 +672,21 @@
 
     private void heard(int t) {
         heardAt[t] = now;
-        silentSince[t] = 0;
+        nextTrial[t] = 0;
     }
 
     /** A target that owes answers and has given none for far longer than usual gets nothing but single trials. */
     private void watchForSilence(int t) {
         double patience = Math.max(shortestAgreed, lag[t] + DEVIATIONS * lagDeviation[t]);
-        if (silentSince[t] == 0 && out[t] > 0 && now - heardAt[t] > patience) {
-            silentSince[t] = now;
+        if (nextTrial[t] == 0 && out[t] > 0 && now - heardAt[t] > patience) {
             trialWait[t] = shortestAgreed;
             nextTrial[t] = now + trialWait[t];
             window[t] = 1;
             out[t] = 0;
-            epoch[t]++;
+            life[t]++;
         }
     }
 
-    private void probed(Event.Probed e) {
-    }
-
     private boolean worthAnother(Held h, int t, Outcome o) {
         boolean mayYet = h.ranAt < 0 || h.category.repeats() == Repeats.HARMLESS
                 || h.category.repeats() == Repeats.STAMPED && now < h.ranSince + h.category.repeatWindow();
@@ -709,7 +719,7 @@
             return 0;
         }
         int t = h.node.target;
-        long wait = t < 0 ? shortestAgreed : silentSince[t] > 0 ? nextTrial[t] - now : (long) lag[t];
+        long wait = t < 0 ? shortestAgreed : nextTrial[t] > 0 ? nextTrial[t] - now : (long) lag[t];
         return Math.max(1, Math.min(given.allowances().longestAdvice(), wait));
     }
 
@@ -720,8 +730,8 @@
         }
         h.answered = true;
         Reservation r = h.node.reservations.get(h.access.volume());
-        if (r.queue.remove(h)) {
-            h.node.waiting--;
+        if (r != null && r.queue.contains(h)) {
+            dequeue(h, r);
             r.retag();
         }
         if (h.outAt < 0) {
