A target that cannot be reached gets spaced single trials

Could harm where single connections fail at random: one such failure then costs one agreed time of single trials.

--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -657,7 +657,11 @@
                 halve(t, h);
             }
             case ERROR -> heard(t);
-            case TIMED_OUT, NO_CONNECTION, RESET -> halve(t, h);
+            case TIMED_OUT -> halve(t, h);
+            case NO_CONNECTION, RESET -> {
+                halve(t, h);
+                fallSilent(t);
+            }
             default -> { }
         }
     }
@@ -678,7 +682,14 @@
     /** A target that owes answers and has given none for far longer than usual gets nothing but single trials. */
     private void watchForSilence(int t) {
         double patience = Math.max(shortestAgreed, lag[t] + DEVIATIONS * lagDeviation[t]);
-        if (nextTrial[t] == 0 && out[t] > 0 && now - heardAt[t] > patience) {
+        if (out[t] > 0 && now - heardAt[t] > patience) {
+            fallSilent(t);
+        }
+    }
+
+    /** Guards against a target that hangs, is down or cannot be reached, whatever the list says of it. */
+    private void fallSilent(int t) {
+        if (nextTrial[t] == 0) {
             trialWait[t] = shortestAgreed;
             nextTrial[t] = now + trialWait[t];
             window[t] = 1;
