What a cold target has borne no longer counts against its bound

Work that succeeded within the window was within the target's capacity, one part in tipMultiple of the bound; the rest may be out. Could harm where a target answers well and yet counts as overloaded.

--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -72,8 +72,12 @@
     private double furtherSuccess = 1;
     private double meanUnits;
 
-    /** What a cold target was sent, and when. */
-    private record Spent(long at, double units) {}
+    /** What a cold target was sent, and when; it is borne once it has succeeded. */
+    private static final class Spent {
+        long at;
+        double units;
+        boolean borne;
+    }
 
     /** One access from taking to its final answer, and on until its last relay has an outcome. */
     private static final class Held {
@@ -84,6 +88,7 @@
         long agreedAt, abandonAt, sentAt, ranSince;
         int relays, outLife, outAt = -1, ranAt = -1;
         boolean answered;
+        Spent spent;
     }
 
     /** The node that holds one shard, whichever target that is now. */
@@ -472,7 +477,11 @@
             further.addLast(now);
         }
         if (isCold(t)) {
-            coldSpent.get(t).addLast(new Spent(now, h.access.units()));
+            Spent spent = new Spent();
+            spent.at = now;
+            spent.units = h.access.units();
+            coldSpent.get(t).addLast(spent);
+            h.spent = spent;
         }
         if (out[t] == 0) {
             heardAt[t] = now;
@@ -522,7 +531,11 @@
         return given.bounds().fall() > 0 && launched[t] > 0 && now < launched[t] + given.bounds().cold();
     }
 
-    /** This initiator's even part of what a cold target bears. What a former life sent is held to be all of it. */
+    /**
+     * This initiator's even part of what a cold target bears. What a former life sent is held to be all of it. Work
+     * that succeeded was within what the target can do, which is one part in tipMultiple of the bound; the rest of
+     * the bound may then be out, shared as before.
+     */
     private boolean coldBears(Held h, int t) {
         if (!isCold(t)) {
             return true;
@@ -531,11 +544,18 @@
         if (now < startedAt + fall && launched[t] < startedAt) {
             return false;
         }
-        while (!coldSpent.get(t).isEmpty() && coldSpent.get(t).peekFirst().at() <= now - fall) {
+        while (!coldSpent.get(t).isEmpty() && coldSpent.get(t).peekFirst().at <= now - fall) {
             coldSpent.get(t).removeFirst();
         }
-        double spent = coldSpent.get(t).stream().mapToDouble(Spent::units).sum();
-        return spent + h.access.units() <= coldPart(t);
+        double spent = 0;
+        double unborne = 0;
+        for (Spent s : coldSpent.get(t)) {
+            spent += s.units;
+            unborne += s.borne ? 0 : s.units;
+        }
+        double part = coldPart(t);
+        double left = 1 - 1 / Math.max(1, given.bounds().tipMultiple());
+        return spent + h.access.units() <= part || unborne + h.access.units() <= part * left;
     }
 
     /** The bound grows as the target warms, which is never slower than evenly; the window's start counts. */
@@ -644,6 +664,9 @@
         switch (e.outcome()) {
             case SUCCEEDED -> {
                 heard(t);
+                if (h.spent != null) {
+                    h.spent.borne = true;
+                }
                 lagDeviation[t] += SMOOTHING * (Math.abs(e.lag() - lag[t]) - lagDeviation[t]);
                 lag[t] = lag[t] == 0 ? e.lag() : lag[t] + SMOOTHING * (e.lag() - lag[t]);
                 if (e.lag() > LATE_PART * shortestAgreed) {
--- a/src/main/java/milletyoke/port/Provisioning.java
+++ b/src/main/java/milletyoke/port/Provisioning.java
@@ -23,6 +23,6 @@
 
     public record Allowances(int maxRelays, boolean probes, boolean advice, long longestAdvice) {}
 
-    public record Bounds(long keyQuiet, long cold, double coldShare, double coldBears, long fall,
+    public record Bounds(long keyQuiet, long cold, double coldShare, double coldBears, long fall, double tipMultiple,
             double relayBudgetFree, double relayBudgetShare, long relayBudgetSpan, long mustAskIn) {}
 }
--- a/src/main/java/milletyoke/sim/Codec.java
+++ b/src/main/java/milletyoke/sim/Codec.java
@@ -123,7 +123,8 @@
         var allowances = new Provisioning.Allowances((int) whole(l, "maxAttempts"), l.path("probes").asBoolean(),
                 l.path("retryAfter").asBoolean(), whole(l, "maxRetryAfter"));
         var bounds = new Provisioning.Bounds(whole(r, "keyQuiet"), whole(r, "cold"), r.path("coldShare").asDouble(),
-                s.path("specifics").path("coldBears").asDouble(), whole(r, "fall"), r.path("budgetFree").asDouble(),
+                s.path("specifics").path("coldBears").asDouble(), whole(r, "fall"),
+                r.path("tipMultiple").asDouble(), r.path("budgetFree").asDouble(),
                 r.path("extraShare").asDouble(), whole(r, "budgetSpan"), whole(r, "mustAskIn"));
         return new Provisioning((int) whole(s, "balancers"), categories, plans, allowances, bounds,
                 s.path("registryMode").asText().equals("subscribe"));
