--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -353,7 +353,7 @@
 
     /** What can no longer be answered in its agreed time yields to what can. */
     private void setLateAside(Node node) {
-        double expected = node.target < 0 ? 0 : lag[node.target] + lagDeviation[node.target];
+        double expected = node.target < 0 ? 0 : lag[node.target];
         for (Reservation r : node.reservations.values()) {
             int before = r.queue.size();
             r.queue.removeIf(h -> {
