--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -66,6 +66,7 @@
     private final Map<Integer, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Held> held = new LinkedHashMap<>();
     private final Map<String, Store> stores = new HashMap<>();
+    private final Map<String, Store> owed = new HashMap<>();
     private final Map<String, Turns> turns = new HashMap<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private final ArrayDeque<Long> further = new ArrayDeque<>();
@@ -451,16 +452,31 @@
         h.node.waiting--;
     }
 
+    /** The least finish tag among the volumes that are owed part of their reserve, if none is, among all. */
     private Reservation leastFinish(Node node) {
         Reservation least = null;
+        boolean leastOwed = false;
         for (Reservation r : node.reservations.values()) {
-            if (!r.queue.isEmpty() && (least == null || r.finish < least.finish) && sendable(node, r) != null) {
+            Held h = r.queue.isEmpty() ? null : sendable(node, r);
+            boolean owed = h != null && owed(h).units >= h.access.units();
+            if (h != null && (least == null || owed && !leastOwed || owed == leastOwed && r.finish < least.finish)) {
                 least = r;
+                leastOwed = owed;
             }
         }
         return least;
     }
 
+    /** What this host still owes a volume of its reserve: a second of it and one access of the usual size. */
+    private Store owed(Held h) {
+        Store s = owed.computeIfAbsent(h.access.volume(), v -> new Store());
+        double reserve = h.plan == null ? 0 : h.plan.reserve();
+        long since = s.at == 0 ? startedAt : s.at;
+        s.units = Math.min(reserve + 8, s.units + reserve * (now - since) / 1e6);
+        s.at = now;
+        return s;
+    }
+
     private Held sendable(Node node, Reservation r) {
         for (Held h : r.queue) {
             if (mayRelay(h, node.target)) {
@@ -486,6 +502,8 @@
         }
         if (h.relays == 0) {
             spendLimit(h);
+            Store s = owed(h);
+            s.units = Math.max(0, s.units - h.access.units());
         } else {
             further.addLast(now);
         }
