--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -93,7 +93,7 @@
 
         boolean before(Held other) {
             double more = category.importance() - other.category.importance();
-            return more > 0 || more == 0 && agreedAt < other.agreedAt;
+            return more > 0 || more == 0 && agreedAt - category.agreedTime() > other.agreedAt - other.category.agreedTime();
         }
     }
 
