--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -375,7 +375,7 @@
         while (!node.late.isEmpty()) {
             Held h = node.late.removeFirst();
             node.waiting--;
-            if (roomAt(node) <= 0 || window[node.target] < FIRST_WINDOW || !relay(h, node.target)) {
+            if (roomAt(node) <= 0 || !relay(h, node.target)) {
                 giveUp(h);
             }
         }
