--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -19,7 +19,7 @@
     private static final double WINDOW_CEILING = 16;
     private static final double MARGIN_STEPS = 1.5;
     /** An answer is late past this part of the shortest agreed time: the rest is left for waiting here. */
-    private static final double LATE_PART = 0.25;
+    private static final double LATE_PART = 0.17;
     // Smoothing, as TCP does it for its round trips: a figure settles in about eight answers.
     private static final double SMOOTHING = 1.0 / 8;
     private static final double DEVIATIONS = 4;
