--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -700,7 +700,7 @@
                 }
                 lagDeviation[t] += SMOOTHING * (Math.abs(e.lag() - lag[t]) - lagDeviation[t]);
                 lag[t] = lag[t] == 0 ? e.lag() : lag[t] + SMOOTHING * (e.lag() - lag[t]);
-                if (e.lag() > LATE_PART * shortestAgreed) {
+                if (e.lag() > LATE_PART * shortestAgreed * Math.max(1, h.access.units() / meanUnits)) {
                     halve(t, h);
                 } else {
                     window[t] = Math.min(WINDOW_CEILING, window[t] + 1 / window[t]);
