--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -6,11 +6,13 @@
 import milletyoke.port.Outcome;
 import milletyoke.port.Provisioning;
 import milletyoke.port.Provisioning.*;
+import milletyoke.State.*;
 
 /**
- * All decisions of one initiator. Whoever hosts it makes one object for each start, calls {@link #decide} with the
- * time and what happened since the last call, and carries out what it returns, in that order. The first event is the
- * start; the interface is the package milletyoke.port. The design, and each departure from it, is in docs/design.md.
+ * All decisions of one initiator. Whoever hosts it makes one object for each start, calls {@link #decide}
+ * with the time and what happened since the last call, and carries out what it returns, in that order. The
+ * first event is the start; the interface is the package milletyoke.port. The design, and each departure from
+ * it, is in docs/design.md.
  */
 public final class Decide {
     // The design's figures.
@@ -18,14 +20,18 @@
     private static final double FIRST_WINDOW = 4;
     private static final double WINDOW_CEILING = 16;
     private static final double MARGIN_STEPS = 1.5;
-    /** An answer is late past this part of the shortest agreed time: what waits at a target waits in no tag order. */
+    /**
+     * An answer is late past this part of the shortest agreed time: at a target it would wait in no tag
+     * order.
+     */
     private static final double LATE_PART = 1.0 / 6;
     // Smoothing, as TCP does it for its round trips: a figure settles in about eight answers.
     private static final double SMOOTHING = 1.0 / 8;
-    private static final double DEVIATIONS = 4;
-    /** However few further relays succeed, this part is still tried: else nothing would show that they do again. */
+    /** A target that owes answers is silent once it has given none for this many of its usual lags. */
+    private static final double PATIENCE = 4;
+    /** However few further relays succeed, this part is still tried, to see whether they do again. */
     private static final double LEAST_FURTHER = 0.1;
-    /** A silent target is tried again after one agreed time, then ever later, up to this many times that. */
+    /** A silent target is tried again ever later, up to this many of the shortest agreed time. */
     private static final long LONGEST_TRIAL = 4;
     /** Times between looks at what waits, and at what is only out (microseconds). */
     private static final long LOOK_WAITING = 4_000;
@@ -33,6 +39,8 @@
     /** A final answer leaves this long before the client's time is up. */
     private static final long ANSWER_AHEAD = 5_000;
     private static final long FIRST_ASK = 500_000;
+    private static final Set<Outcome> MAY_STILL_RUN =
+            EnumSet.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED);
 
     // What is read at start.
     private Provisioning given;
@@ -54,8 +62,8 @@
     private String[] id = {}, zone = {};
     private int[] shardOf = {}, out = {}, life = {};
     private boolean[] usable = {}, mayTry = {};
-    private long[] launched = {}, heardAt = {}, halvedAt = {}, nextTrial = {}, trialWait = {};
-    private double[] window = {}, lag = {}, lagDeviation = {};
+    private long[] launched = {}, heardAt = {}, halvedAt = {}, nextTrial = {};
+    private double[] window = {}, lag = {};
     private final List<ArrayDeque<Spent>> coldSpent = new ArrayList<>();
 
     // When to ask discovery again.
@@ -72,74 +80,6 @@
     private double furtherSuccess = 1;
     private double meanUnits;
 
-    /** One access from taking to its final answer, and on until its last relay has an outcome. */
-    private static final class Held {
-        Event.Access access;
-        Category category;
-        Plan plan;
-        Node node;
-        long firstTaken, agreedAt, abandonAt, sentAt, ranSince;
-        int relays, outLife, outAt = -1, ranAt = -1;
-        boolean answered;
-        Spent spent;
-
-        /** Newest first: a backlog then makes few accesses very late, not all of them a little. */
-        boolean before(Held other) {
-            double more = category.importance() - other.category.importance();
-            return more > 0 || more == 0 && firstTaken > other.firstTaken;
-        }
-    }
-
-    /** The node that holds one shard, whichever target that is now. */
-    private static final class Node {
-        int target = -1, waiting;
-        double virtualTime;
-        final Map<String, Reservation> reservations = new LinkedHashMap<>();
-    }
-
-    /** A volume's reservation queue at one node, with its three tags. */
-    private static final class Reservation {
-        final LinkedList<Held> queue = new LinkedList<>();
-        double weight, start, finish, extra;
-
-        double step(Held h) {
-            return h.access.units() / weight;
-        }
-
-        /** Shares among volumes are the tags' matter; inside one volume the order is by importance. */
-        void add(Held h) {
-            int at = queue.size();
-            for (Iterator<Held> last = queue.descendingIterator(); last.hasNext() && h.before(last.next()); at--) {
-                continue;
-            }
-            queue.add(at, h);
-            retag();
-        }
-
-        void retag() {
-            finish = queue.isEmpty() ? finish : start + step(queue.peekFirst());
-        }
-    }
-
-    /** Units that fill up at a rate: this host's part of a volume's limit, or what it owes of a reserve. */
-    private static final class Store {
-        double units;
-        long at;
-    }
-
-    /** What a cold target was sent, and when; it is borne once it has succeeded. */
-    private static final class Spent {
-        long at;
-        double units;
-        boolean borne;
-    }
-
-    /** The accesses of one key in the order they were taken. */
-    private static final class Turns {
-        final ArrayDeque<Held> order = new ArrayDeque<>();
-        long restUntil;
-    }
-
     /** The one entry point: takes what happened, returns what is to be done. */
     public List<Action> decide(long time, List<Event> happened) {
         now = time;
@@ -165,9 +105,7 @@
             ended(e);
         } else if (event instanceof Event.Probed e) {
             probed(e);
-        } else if (event instanceof Event.Flowing e) {
-            leave(held.get(e.id()));
-        } else if (event instanceof Event.ClientGone e) {
+        } else if (event instanceof Event.Over e) {
             leave(held.get(e.id()));
         } else if (event instanceof Event.Alarm) {
             wakeAt = Long.MAX_VALUE;
@@ -194,7 +132,7 @@
         long due = Math.min(askAt, look);
         if (due < wakeAt) {
             wakeAt = due;
-            todo.add(new Action.Wake(Math.max(1, due - now), 0));
+            todo.add(new Action.Wake(Math.max(1, due - now)));
         }
     }
 
@@ -255,10 +193,8 @@
         heardAt = Arrays.copyOf(heardAt, targets);
         halvedAt = Arrays.copyOf(halvedAt, targets);
         nextTrial = Arrays.copyOf(nextTrial, targets);
-        trialWait = Arrays.copyOf(trialWait, targets);
         window = Arrays.copyOf(window, targets);
         lag = Arrays.copyOf(lag, targets);
-        lagDeviation = Arrays.copyOf(lagDeviation, targets);
         coldSpent.add(new ArrayDeque<>());
         id[t] = name;
         forget(t);
@@ -271,7 +207,6 @@
         out[t] = 0;
         life[t]++;
         lag[t] = 0;
-        lagDeviation[t] = 0;
         nextTrial[t] = 0;
     }
 
@@ -306,7 +241,10 @@
         enqueue(h);
     }
 
-    /** A new object goes to one target drawn at random, with odds in step with the room each is thought to have. */
+    /**
+     * A new object goes to one target drawn at random, with odds in step with the room each is thought to
+     * have.
+     */
     private Node draw() {
         double left = chance.nextDouble() * nodes.values().stream().mapToDouble(this::room).sum();
         Node drawn = null;
@@ -334,10 +272,31 @@
             }
             r.extra = least == Double.POSITIVE_INFINITY ? r.extra : Math.max(r.extra, least);
         }
-        r.add(h);
+        r.queue.add(placeIn(r.queue, h), h);
+        retag(r);
         node.waiting++;
     }
 
+    /**
+     * Inside one volume importance goes first, then the newest: a backlog then makes few very late, not all.
+     */
+    private static int placeIn(LinkedList<Held> queue, Held h) {
+        int at = 0;
+        for (Held other : queue) {
+            double more = other.category.importance() - h.category.importance();
+            at += more > 0 || more == 0 && other.firstTaken >= h.firstTaken ? 1 : 0;
+        }
+        return at;
+    }
+
+    private static double step(Reservation r, Held h) {
+        return h.access.units() / r.weight;
+    }
+
+    private static void retag(Reservation r) {
+        r.finish = r.queue.isEmpty() ? r.finish : r.start + step(r, r.queue.peekFirst());
+    }
+
     private static void dequeue(Held h, Reservation r) {
         r.queue.remove(h);
         h.node.waiting--;
@@ -361,9 +320,10 @@
     }
 
     /**
-     * What can no longer be answered in its agreed time yields to what can: it takes the room that is left, or gets
-     * its answer at once. Guards against a backlog of any cause (surge, pause, silence, no target) that would make
-     * all that comes later late as well. Could harm where the lag is thought longer than it is.
+     * What can no longer be answered in its agreed time yields to what can: it takes the room that is left,
+     * or gets its answer at once. Guards against a backlog of any cause (surge, pause, silence, no target)
+     * that would make all that comes later late as well. Could harm where the lag is thought longer than it
+     * is.
      */
     private List<Held> takeLate(Node node) {
         double expected = node.target < 0 ? 0 : lag[node.target];
@@ -375,12 +335,15 @@
                     late.add(h);
                 }
             }
-            r.retag();
+            retag(r);
         }
         return late;
     }
 
-    /** One base batch by least finish tag, and beside each of it the inserts that may join; false if none was sent. */
+    /**
+     * One base batch by least finish tag, and beside each of it the inserts that may join; false if it is
+     * empty.
+     */
     private boolean batch(Node node) {
         int room = roomAt(node);
         int most = Math.min(BASE_BATCH, (room + 1) / 2);
@@ -390,13 +353,13 @@
             dequeue(h, r);
             node.virtualTime = r.start;
             r.start = r.finish;
-            r.retag();
+            retag(r);
             base.add(h);
         }
         room -= base.size();
         for (Held h : base) {
             if (!relay(h, node.target)) {
-                enqueue(h); // an earlier one of this batch took the last of a limit or of a cold target's part
+                enqueue(h); // one before it took the last of a limit or of a cold target's part
             }
             for (Held beside = insert(node, h, room); beside != null; beside = insert(node, h, room)) {
                 relay(beside, node.target);
@@ -407,9 +370,9 @@
     }
 
     /**
-     * The least finish tag among the volumes that are owed part of their reserve; if none is, among all. Guards
-     * reserves against many volumes asking for more at once, where weights alone would deal them less. Could harm
-     * the shares by weight if reserves took the whole node for long.
+     * The least finish tag among the volumes that are owed part of their reserve; if none is, among all.
+     * Guards reserves against many volumes asking for more at once, where weights alone would deal them less.
+     * Could harm the shares by weight if reserves took the whole node for long.
      */
     private Reservation leastFinish(Node node) {
         Reservation least = null;
@@ -417,7 +380,9 @@
         for (Reservation r : node.reservations.values()) {
             Held h = sendable(node, r);
             boolean owed = h != null && owed(h).units >= h.access.units();
-            if (h != null && (least == null || owed && !leastOwed || owed == leastOwed && r.finish < least.finish)) {
+            boolean first = least == null
+                    || (owed == leastOwed ? r.finish < least.finish : owed);
+            if (h != null && first) {
                 least = r;
                 leastOwed = owed;
             }
@@ -434,7 +399,10 @@
         return null;
     }
 
-    /** What this host owes a volume of its reserve: a second of it and one access of twice the usual size at most. */
+    /**
+     * What this host owes a volume of its reserve: a second of it and one access of twice the usual size at
+     * most.
+     */
     private Store owed(Held h) {
         double reserve = h.plan == null ? 0 : h.plan.reserve();
         return filled(reserves, h, reserve, reserve + 2 * meanUnits);
@@ -449,8 +417,8 @@
         for (Reservation r : node.reservations.values()) {
             for (Held h : r.queue) {
                 if (extent.equals(h.access.extent()) && !h.category.keyOrdered() && mayRelay(h, node.target)
-                        && gapWith(node, r, r.extra + r.step(h)) <= margin(node)) {
-                    r.extra += r.step(h);
+                        && withinMargin(node, r, step(r, h))) {
+                    r.extra += step(r, h);
                     dequeue(h, r);
                     return h;
                 }
@@ -459,25 +427,20 @@
         return null;
     }
 
-    /** The widest gap among the waiting volumes' extra tags if one of them stood at the given tag. */
-    private static double gapWith(Node node, Reservation one, double extra) {
-        double least = extra;
-        double most = extra;
+    /**
+     * Whether the widest gap among the waiting volumes' extra tags stays within the margin after one more
+     * step.
+     */
+    private boolean withinMargin(Node node, Reservation one, double step) {
+        double least = one.extra + step, most = least, lightest = one.weight;
         for (Reservation r : node.reservations.values()) {
             if (r != one && !r.queue.isEmpty()) {
                 least = Math.min(least, r.extra);
                 most = Math.max(most, r.extra);
+                lightest = Math.min(lightest, r.weight);
             }
         }
-        return most - least;
-    }
-
-    private double margin(Node node) {
-        double lightest = Double.POSITIVE_INFINITY;
-        for (Reservation r : node.reservations.values()) {
-            lightest = r.queue.isEmpty() ? lightest : Math.min(lightest, r.weight);
-        }
-        return MARGIN_STEPS * meanUnits / lightest;
+        return most - least <= MARGIN_STEPS * meanUnits / lightest;
     }
 
     private int roomAt(Node node) {
@@ -494,19 +457,17 @@
         if (!mayRelay(h, t)) {
             return false;
         }
-        if (h.relays == 0) {
-            limit(h).units -= h.access.units();
-            owed(h).units = Math.max(0, owed(h).units - h.access.units());
-        } else {
+        if (h.relays > 0) {
             further.addLast(now);
+        } else if (hasLimit(h)) {
+            limit(h).units -= h.access.units();
         }
+        owed(h).units = Math.max(0, owed(h).units - h.access.units());
         if (isCold(t)) {
-            h.spent = new Spent();
-            h.spent.at = now;
-            h.spent.units = h.access.units();
+            h.spent = new Spent(now, h.access.units());
             coldSpent.get(t).addLast(h.spent);
         }
-        heardAt[t] = out[t] == 0 ? now : heardAt[t];
+        heardAt[t] = out[t] == 0 && nextTrial[t] == 0 ? now : heardAt[t];
         mayTry[t] = false;
         h.relays++;
         h.outAt = t;
@@ -520,7 +481,7 @@
     private boolean mayRelay(Held h, int t) {
         boolean inTime = !h.answered && now < h.abandonAt - ANSWER_AHEAD;
         return t >= 0 && usable[t] && inTime && noSecondEffect(h, t) && coldBears(h, t) && itsTurn(h)
-                && withinBudget(h) && limit(h).units >= (h.relays == 0 ? h.access.units() : Double.NEGATIVE_INFINITY);
+                && withinBudget(h) && withinLimit(h);
     }
 
     private boolean noSecondEffect(Held h, int t) {
@@ -545,9 +506,9 @@
     }
 
     /**
-     * This initiator's even part of what a cold target bears. What a former life sent is held to be all of it. Work
-     * that succeeded was within what the target can do, which is one part in tipMultiple of the bound; the rest of
-     * the bound may then be out, shared as before.
+     * This initiator's even part of what a cold target bears. What a former life sent is held to be all of
+     * it. Work that succeeded was within what the target can do, which is one part in tipMultiple of the
+     * bound; the rest of the bound may then be out, shared as before.
      */
     private boolean coldBears(Held h, int t) {
         if (!isCold(t)) {
@@ -556,8 +517,7 @@
         if (now < startedAt + bounds.fall() && launched[t] < startedAt) {
             return false;
         }
-        double spent = h.access.units();
-        double unborne = spent;
+        double spent = h.access.units(), unborne = spent;
         coldSpent.get(t).removeIf(s -> s.at <= now - bounds.fall());
         for (Spent s : coldSpent.get(t)) {
             spent += s.units;
@@ -593,15 +553,21 @@
         return further.size() + 1 <= bounds.relayBudgetFree() + bounds.relayBudgetShare() * taken.size();
     }
 
-    /** This host's part of the volume's limit, slack included. A former life may have spent it, so it starts empty. */
+    private boolean withinLimit(Held h) {
+        return h.relays > 0 || !hasLimit(h) || limit(h).units >= h.access.units();
+    }
+
+    private static boolean hasLimit(Held h) {
+        return h.plan != null && h.plan.limitRate() > 0;
+    }
+
+    /**
+     * This host's part of a volume's limit, slack included. A former life may have spent it: it starts empty.
+     */
     private Store limit(Held h) {
-        if (h.plan == null || h.plan.limitRate() <= 0) {
-            Store none = new Store();
-            none.units = Double.POSITIVE_INFINITY;
-            return none;
-        }
         double hosts = Math.max(1, h.access.hosts());
-        return filled(limits, h, h.plan.limitRate() / hosts, (h.plan.limitDepth() + h.plan.limitSlack()) / hosts);
+        double depth = h.plan.limitDepth() + h.plan.limitSlack();
+        return filled(limits, h, h.plan.limitRate() / hosts, depth / hosts);
     }
 
     private Store filled(Map<String, Store> stores, Held h, double rate, double depth) {
@@ -622,10 +588,7 @@
         h.outAt = -1;
         out[t] -= h.outLife == life[t] ? 1 : 0;
         judge(t, h, e);
-        boolean mayStillRun = switch (e.outcome()) {
-            case TIMED_OUT, RESET, CANCELLED -> true;
-            default -> false;
-        };
+        boolean mayStillRun = MAY_STILL_RUN.contains(e.outcome());
         Turns k = turnsOf(h);
         if (k != null && mayStillRun) {
             k.restUntil = Math.max(k.restUntil, now + bounds.keyQuiet());
@@ -651,16 +614,13 @@
     private void judge(int t, Held h, Event.Ended e) {
         switch (e.outcome()) {
             case SUCCEEDED -> succeeded(t, h, e.lag());
+            case ERROR -> heard(t);
             case FULL -> {
                 heard(t);
                 halve(t, h);
             }
-            case ERROR -> heard(t);
             case TIMED_OUT -> halve(t, h);
-            case NO_CONNECTION, RESET -> {
-                halve(t, h);
-                fallSilent(t);
-            }
+            case NO_CONNECTION, RESET -> fallSilent(t);
             default -> { }
         }
     }
@@ -670,7 +630,6 @@
         if (h.spent != null) {
             h.spent.borne = true;
         }
-        lagDeviation[t] += SMOOTHING * (Math.abs(took - lag[t]) - lagDeviation[t]);
         lag[t] += (took - lag[t]) * (lag[t] == 0 ? 1 : SMOOTHING);
         if (took > LATE_PART * shortestAgreed) {
             halve(t, h);
@@ -692,14 +651,15 @@
         nextTrial[t] = 0;
     }
 
-    /** A target that owes answers and has given none for far longer than usual gets nothing but single trials. */
+    /**
+     * A target that owes answers and has given none for far longer than usual gets single trials, ever later.
+     */
     private void watchForSilence(int t) {
-        double patience = Math.max(shortestAgreed, lag[t] + DEVIATIONS * lagDeviation[t]);
-        if (nextTrial[t] == 0 && out[t] > 0 && now - heardAt[t] > patience) {
+        long quiet = now - heardAt[t];
+        if (nextTrial[t] == 0 && out[t] > 0 && quiet > Math.max(shortestAgreed, PATIENCE * lag[t])) {
             fallSilent(t);
         } else if (nextTrial[t] > 0 && now >= nextTrial[t]) {
-            trialWait[t] = Math.min(2 * trialWait[t], LONGEST_TRIAL * shortestAgreed);
-            nextTrial[t] = now + trialWait[t];
+            nextTrial[t] = now + Math.min(quiet, LONGEST_TRIAL * shortestAgreed);
             mayTry[t] = !given.allowances().probes();
             if (!mayTry[t] && usable[t]) {
                 todo.add(new Action.Probe(id[t]));
@@ -708,13 +668,13 @@
     }
 
     /**
-     * Guards against a target that hangs, is down or cannot be reached, whatever the list says of it; any answer ends
-     * it. A long pause looks the same, and is met as well. Could harm where single connections fail by chance.
+     * Guards against a target that hangs, is down or cannot be reached, whatever the list says; any answer
+     * ends it. A long pause looks the same, and is met as well. Could harm where single connections fail by
+     * chance.
      */
     private void fallSilent(int t) {
         if (nextTrial[t] == 0) {
-            trialWait[t] = shortestAgreed;
-            nextTrial[t] = now + trialWait[t];
+            nextTrial[t] = now + shortestAgreed;
             mayTry[t] = false;
             window[t] = 1;
             out[t] = 0;
@@ -739,8 +699,9 @@
     // ---- Final answers ----
 
     private void giveUp(Held h) {
-        boolean everyRepeatDropped = h.category.repeats() == Repeats.STAMPED && h.category.group() == Group.ALL;
-        if (h.ranAt < 0 || h.category.repeats() == Repeats.HARMLESS || everyRepeatDropped) {
+        Category c = h.category;
+        boolean dropsRepeats = c.repeats() == Repeats.STAMPED && c.group() == Group.ALL;
+        if (h.ranAt < 0 || c.repeats() == Repeats.HARMLESS || dropsRepeats) {
             todo.add(new Action.Reject(h.access.id(), advice(h.node.target)));
         } else {
             todo.add(new Action.BreakOff(h.access.id()));
@@ -750,7 +711,8 @@
 
     private long advice(int t) {
         long wait = t < 0 ? shortestAgreed : nextTrial[t] > 0 ? nextTrial[t] - now : (long) lag[t];
-        return given.allowances().advice() ? Math.max(1, Math.min(given.allowances().longestAdvice(), wait)) : 0;
+        Allowances may = given.allowances();
+        return may.advice() ? Math.max(1, Math.min(may.longestAdvice(), wait)) : 0;
     }
 
     /** The access has its final answer; it is kept only while a relay of it has no outcome. */
@@ -762,7 +724,7 @@
         Reservation r = h.node.reservations.get(h.access.volume());
         if (r != null && r.queue.contains(h)) {
             dequeue(h, r);
-            r.retag();
+            retag(r);
         }
         if (h.outAt < 0) {
             held.remove(h.access.id());
--- a/src/main/java/milletyoke/port/Action.java
+++ b/src/main/java/milletyoke/port/Action.java
@@ -12,7 +12,7 @@
 
     record Probe(String target) implements Action {}
 
-    record Wake(long in, long tag) implements Action {}
+    record Wake(long in) implements Action {}
 
     /** Ask discovery to tell every change from now on. */
     record FollowList() implements Action {}
--- a/src/main/java/milletyoke/port/Event.java
+++ b/src/main/java/milletyoke/port/Event.java
@@ -13,7 +13,7 @@
     enum Scope { UPDATE, REPLACE, RESTORED, UNAVAILABLE }
 
     /** One target; {@code launched} is 0 where it started long ago. */
-    record Target(int shard, String id, String zone, Health health, long launched, double size) {}
+    record Target(int shard, String id, String zone, Health health, long launched) {}
 
     enum Health { ON, DRAINING, GONE }
 
@@ -22,17 +22,14 @@
             int hosts, double units) implements Event {}
 
     /** How one relay ended; {@code answered} is set once the client has its final answer. */
-    record Ended(String id, int relay, boolean answered, Outcome outcome, long lag, String target, double[] load)
-            implements Event {}
+    record Ended(String id, int relay, boolean answered, Outcome outcome, long lag) implements Event {}
 
     /** What a probe found. */
-    record Probed(String target, Outcome outcome, long lag, double[] load) implements Event {}
+    record Probed(String target, Outcome outcome) implements Event {}
 
-    /** The answer to a relay has begun to flow and now belongs to the client. */
-    record Flowing(String id, int relay, String target) implements Event {}
+    /** Nothing more is owed for the access: its client left, or has the answer's first part already. */
+    record Over(String id) implements Event {}
 
-    /** The client left; nothing more is owed. */
-    record ClientGone(String id) implements Event {}
-
-    record Alarm(long tag) implements Event {}
+    /** A wake-up that was asked for. */
+    record Alarm() implements Event {}
 }
--- a/src/main/java/milletyoke/port/Provisioning.java
+++ b/src/main/java/milletyoke/port/Provisioning.java
@@ -15,11 +15,11 @@
 
     /** Times are microseconds. */
     public record Category(String name, Repeats repeats, Group group, long repeatWindow, boolean keyOrdered,
-            long agreedTime, long abandonTime, double importance, double lateShare) {}
+            long agreedTime, double importance) {}
 
     /** Figures in units a second, over all initiators and targets. */
-    public record Plan(String name, double rate, double reserve, double weight, double importance,
-            double limitRate, double limitDepth, double limitSlack) {}
+    public record Plan(String name, double reserve, double weight, double limitRate, double limitDepth,
+            double limitSlack) {}
 
     public record Allowances(int maxRelays, boolean probes, boolean advice, long longestAdvice) {}
 
--- a/src/main/java/milletyoke/sim/Codec.java
+++ b/src/main/java/milletyoke/sim/Codec.java
@@ -25,11 +25,10 @@
             case "ACCEPT" -> new Event.Access(f.text(1), (int) f.number(2, -1), f.text(3), f.text(4), f.whole(5),
                     f.text(6), f.text(7), (int) f.number(8, 1), f.number(9, 1));
             case "FINISHED" -> new Event.Ended(f.text(1), (int) f.whole(2), f.whole(3) != 0,
-                    outcome(f.whole(4), f), f.whole(6), f.text(7), load(f.text(9)));
-            case "PROBED" -> new Event.Probed(f.text(1), outcome(f.whole(2), f), f.whole(3), load(f.text(4)));
-            case "FIRED" -> new Event.Alarm(f.whole(1));
-            case "STREAMING" -> new Event.Flowing(f.text(1), (int) f.whole(2), f.text(3));
-            case "ABORTED" -> new Event.ClientGone(f.text(1));
+                    outcome(f.whole(4), f), f.whole(6));
+            case "PROBED" -> new Event.Probed(f.text(1), outcome(f.whole(2), f));
+            case "FIRED" -> new Event.Alarm();
+            case "STREAMING", "ABORTED" -> new Event.Over(f.text(1));
             default -> null;
         };
     }
@@ -55,7 +54,7 @@
             case "off" -> Event.Health.GONE;
             default -> throw f.wrong("unknown health " + f.text(5));
         };
-        return new Event.Target((int) f.number(1, -1), f.text(3), f.text(4), health, f.whole(6), f.number(7, 1));
+        return new Event.Target((int) f.number(1, -1), f.text(3), f.text(4), health, f.whole(6));
     }
 
     static void write(Action action, StringBuilder out) {
@@ -68,7 +67,7 @@
         } else if (action instanceof Action.Probe a) {
             out.append("TOUCH\t").append(a.target());
         } else if (action instanceof Action.Wake a) {
-            out.append("REMIND\t").append(a.in()).append('\t').append(a.tag());
+            out.append("REMIND\t").append(a.in()).append("\t0");
         } else if (action instanceof Action.FollowList) {
             out.append("TAIL\t1");
         }
@@ -89,34 +88,18 @@
         };
     }
 
-    private static double[] load(String row) {
-        if (row == null) {
-            return new double[0];
-        }
-        String[] parts = row.split(",", -1);
-        double[] values = new double[parts.length];
-        for (int i = 0; i < parts.length; i++) {
-            try {
-                values[i] = Double.parseDouble(parts[i]);
-            } catch (NumberFormatException noFigure) {
-                values[i] = Double.NaN;
-            }
-        }
-        return values;
-    }
-
     private static Provisioning provisioning(JsonNode s) {
         List<Provisioning.Category> categories = new ArrayList<>();
         for (JsonNode c : s.path("classes")) {
             categories.add(new Provisioning.Category(c.path("name").asText(), repeats(c), group(c),
                     whole(c, "repeatWindow"), c.path("serialByKey").asBoolean(), whole(c, "aim"),
-                    whole(c, "deadline"), c.path("points").asDouble(), c.path("lateWorth").asDouble()));
+                    c.path("points").asDouble()));
         }
         List<Provisioning.Plan> plans = new ArrayList<>();
         for (JsonNode p : s.path("policies")) {
-            plans.add(new Provisioning.Plan(p.path("name").asText(), p.path("rate").asDouble(),
-                    p.path("reservation").asDouble(), p.path("weight").asDouble(), p.path("worthFactor").asDouble(),
-                    p.path("ceilingRate").asDouble(), p.path("capDepth").asDouble(), p.path("tolerance").asDouble()));
+            plans.add(new Provisioning.Plan(p.path("name").asText(), p.path("reservation").asDouble(),
+                    p.path("weight").asDouble(), p.path("ceilingRate").asDouble(), p.path("capDepth").asDouble(),
+                    p.path("tolerance").asDouble()));
         }
         JsonNode l = s.path("limits");
         JsonNode r = s.path("rules");
