--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -39,6 +39,10 @@
     /** A final answer leaves this long before the client's time is up. */
     private static final long ANSWER_AHEAD = 5_000;
     private static final long FIRST_ASK = 500_000;
+    /** The rest of a limit's slack is for sums that another counts in another order. */
+    private static final double SLACK_USED = 0.9;
+    /** What a cold target has borne may have been dearer than its units tell, so not all of the rest is used. */
+    private static final double COLD_SPARE = 0.5;
     private static final Set<Outcome> MAY_STILL_RUN =
             EnumSet.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED);
 
@@ -523,7 +527,8 @@
             spent += s.units;
             unborne += s.borne ? 0 : s.units;
         }
-        return spent <= coldPart(t) || unborne <= coldPart(t) * (1 - 1 / Math.max(1, bounds.tipMultiple()));
+        double left = COLD_SPARE * (1 - 1 / Math.max(1, bounds.tipMultiple()));
+        return spent <= coldPart(t) || unborne <= coldPart(t) * left;
     }
 
     /** The bound grows as the target warms, which is never slower than evenly; the window's start counts. */
@@ -566,7 +571,7 @@
      */
     private Store limit(Held h) {
         double hosts = Math.max(1, h.access.hosts());
-        double depth = h.plan.limitDepth() + h.plan.limitSlack();
+        double depth = h.plan.limitDepth() + SLACK_USED * h.plan.limitSlack();
         return filled(limits, h, h.plan.limitRate() / hosts, depth / hosts);
     }
 
--- /dev/null
+++ b/src/test/java/milletyoke/ScenarioTest.java
@@ -0,0 +1,193 @@
+package milletyoke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import milletyoke.port.Action;
+import milletyoke.port.Event;
+import milletyoke.port.Outcome;
+import milletyoke.port.Provisioning;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Plays every scenario of src/test/resources/scenarios; the notation is told in its README. */
+class ScenarioTest {
+    private static final Map<String, Outcome> ENDS = Map.of("ok", Outcome.SUCCEEDED, "error", Outcome.ERROR,
+            "full", Outcome.FULL, "timeout", Outcome.TIMED_OUT, "noconn", Outcome.NO_CONNECTION,
+            "reset", Outcome.RESET, "cancelled", Outcome.CANCELLED, "moot", Outcome.MOOT);
+
+    private final Map<String, String> given = new HashMap<>();
+    private final List<Provisioning.Category> categories = new ArrayList<>();
+    private final List<Provisioning.Plan> plans = new ArrayList<>();
+    private final Decide module = new Decide();
+
+    static Stream<Arguments> scenarios() throws Exception {
+        Path folder = Path.of(ScenarioTest.class.getResource("/scenarios").toURI());
+        String common = Files.readString(folder.resolve("common.txt"));
+        List<Arguments> all = new ArrayList<>();
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.filter(f -> f.toString().endsWith(".scn")).sorted().toList()) {
+                for (String part : Files.readString(file).split("(?m)^== ")) {
+                    String[] split = part.split("\n", 2);
+                    if (split.length == 2 && split[1].contains("->")) {
+                        all.add(Arguments.of(file.getFileName() + ": " + split[0], common + split[1]));
+                    }
+                }
+            }
+        }
+        return all.stream();
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("scenarios")
+    void plays(String name, String text) {
+        List<Event> batch = new ArrayList<>();
+        long at = 0;
+        for (String line : text.lines().map(l -> l.replaceAll("#.*", "").trim()).filter(l -> !l.isEmpty()).toList()) {
+            Words w = new Words(line);
+            if (line.startsWith("->")) {
+                String expected = line.substring(2).trim();
+                String told = play(at, batch);
+                boolean counted = expected.matches("\\d+ relays");
+                assertEquals(expected, counted ? told.split("relay ", -1).length - 1 + " relays" : told,
+                        () -> "before: " + line + " in\n" + text);
+                batch.clear();
+            } else if (w.word(0).equals("given")) {
+                given.putAll(w.named);
+            } else if (w.word(0).equals("category")) {
+                categories.add(category(w));
+            } else if (w.word(0).equals("plan")) {
+                plans.add(new Provisioning.Plan(w.word(1), w.figure("reserve", 0), w.figure("weight", 1),
+                        w.figure("limit", 0), w.figure("depth", 0), w.figure("slack", 0)));
+            } else {
+                if (!w.word(0).equals("+")) {
+                    play(at, batch);
+                    batch.clear();
+                    at = Long.parseLong(w.word(0)) * 1000;
+                }
+                w.each().forEach(one -> batch.add(event(one)));
+            }
+        }
+        assertTrue(batch.isEmpty(), "the last batch has no expectation");
+    }
+
+    private String play(long at, List<Event> batch) {
+        String told = batch.isEmpty() ? "" : module.decide(at, batch).stream().filter(a -> !(a instanceof Action.Wake))
+                .map(ScenarioTest::told).collect(Collectors.joining(", "));
+        return told.isEmpty() ? "nothing" : told;
+    }
+
+    private static String told(Action action) {
+        if (action instanceof Action.Relay a) {
+            return "relay " + a.id() + " " + a.target();
+        } else if (action instanceof Action.Reject a) {
+            return "reject " + a.id() + (a.retryIn() > 0 ? " back=" + a.retryIn() / 1000 : "");
+        } else if (action instanceof Action.BreakOff a) {
+            return "break " + a.id();
+        }
+        return action instanceof Action.Probe a ? "probe " + a.target() : "follow";
+    }
+
+    private Event event(Words w) {
+        return switch (w.word(1)) {
+            case "start" -> new Event.Start(7, provisioning());
+            case "tick" -> new Event.Alarm();
+            case "take" -> new Event.Access(w.word(2), (int) w.figure("at", 0), w.named.get("x"),
+                    w.named.getOrDefault("vol", "v"), w.ms("ttl", 2000), w.named.getOrDefault("plan", "flat"),
+                    w.named.getOrDefault("cat", "read"), (int) w.figure("hosts", 1), w.figure("units", 1));
+            case "end" -> new Event.Ended(w.word(2), Integer.parseInt(w.word(3)),
+                    w.word(4).equals("ok") || w.words.contains("over"), ENDS.get(w.word(4)), w.ms("lag", 20));
+            case "probed" -> new Event.Probed(w.word(2), ENDS.get(w.word(3)));
+            case "gone" -> new Event.Over(w.word(2));
+            default -> new Event.TargetList(Event.Scope.valueOf(w.word(1).toUpperCase()),
+                    w.words.subList(2, w.words.size()).stream().map(ScenarioTest::target).toList());
+        };
+    }
+
+    /** A target is told as id@shard, then /health, %zone and :launched where they matter. */
+    private static Event.Target target(String text) {
+        Map<Character, String> parts = new HashMap<>();
+        for (String part : text.split("(?=[@/%:])")) {
+            parts.put("@/%:".indexOf(part.charAt(0)) < 0 ? 'i' : part.charAt(0), part.replaceAll("^[@/%:]", ""));
+        }
+        return new Event.Target(Integer.parseInt(parts.get('@')), parts.get('i'), parts.getOrDefault('%', "z"),
+                Event.Health.valueOf(parts.getOrDefault('/', "on").toUpperCase()),
+                Long.parseLong(parts.getOrDefault(':', "0")) * 1000);
+    }
+
+    private static Provisioning.Category category(Words w) {
+        return new Provisioning.Category(w.word(1), Provisioning.Repeats.valueOf(w.word(2).toUpperCase()),
+                Provisioning.Group.valueOf(w.named.getOrDefault("group", "all").toUpperCase()), w.ms("window", 0),
+                w.words.contains("ordered"), w.ms("agreed", 400), w.figure("importance", 2));
+    }
+
+    private Provisioning provisioning() {
+        Words g = new Words("given");
+        g.named.putAll(given);
+        return new Provisioning((int) g.figure("initiators", 1), categories, plans,
+                new Provisioning.Allowances((int) g.figure("relays", 3), g.figure("probes", 0) > 0,
+                        g.figure("advice", 0) > 0, g.ms("advice", 0)),
+                new Provisioning.Bounds(g.ms("quiet", 0), g.ms("cold", 0), g.figure("coldShare", 0.25),
+                        g.figure("bears", 0), g.ms("fall", 0), g.figure("tip", 2), g.figure("free", 0),
+                        g.figure("share", 0), g.ms("span", 0), g.ms("askIn", 0)), g.figure("ask", 0) > 0);
+    }
+
+    /** The words of one line, and its name=value pairs. */
+    private static final class Words {
+        final List<String> words = new ArrayList<>();
+        final Map<String, String> named = new HashMap<>();
+
+        Words(String line) {
+            for (String part : line.split("\\s+")) {
+                String[] pair = part.split("=", 2);
+                if (pair.length == 2) {
+                    named.put(pair[0], pair[1]);
+                } else {
+                    words.add(part);
+                }
+            }
+        }
+
+        /** One line for each of a range of ids, such as r1..r20. */
+        List<Words> each() {
+            if (words.size() < 3 || !words.get(2).contains("..")) {
+                return List.of(this);
+            }
+            String[] ends = words.get(2).split("\\.\\.");
+            String stem = ends[0].replaceAll("\\d+$", "");
+            List<Words> all = new ArrayList<>();
+            for (int i = number(ends[0]); i <= number(ends[1]); i++) {
+                Words one = new Words(String.join(" ", words));
+                one.words.set(2, stem + i);
+                one.named.putAll(named);
+                all.add(one);
+            }
+            return all;
+        }
+
+        private static int number(String id) {
+            return Integer.parseInt(id.replaceAll("^\\D+", ""));
+        }
+
+        String word(int i) {
+            return words.get(i);
+        }
+
+        double figure(String name, double absent) {
+            return Double.parseDouble(named.getOrDefault(name, String.valueOf(absent)));
+        }
+
+        long ms(String name, long absent) {
+            return Math.round(1000 * figure(name, absent));
+        }
+    }
+}
