--- a/src/test/java/milletyoke/ScenarioTest.java
+++ b/src/test/java/milletyoke/ScenarioTest.java
@@ -5,16 +5,10 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
+import java.util.*;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
-import milletyoke.port.Action;
-import milletyoke.port.Event;
-import milletyoke.port.Outcome;
-import milletyoke.port.Provisioning;
+import milletyoke.port.*;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
