--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -624,8 +624,8 @@
                 heard(t);
                 halve(t, h);
             }
-            case TIMED_OUT -> halve(t, h);
-            case NO_CONNECTION, RESET -> fallSilent(t);
+            case TIMED_OUT, RESET -> halve(t, h);
+            case NO_CONNECTION -> fallSilent(t);
             default -> { }
         }
     }
