--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -624,7 +624,7 @@
                 heard(t);
                 halve(t, h);
             }
-            case TIMED_OUT, RESET -> halve(t, h);
+            case TIMED_OUT -> halve(t, h);
             case NO_CONNECTION -> fallSilent(t);
             default -> { }
         }
