--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -62,13 +62,7 @@
 
     // Targets, under a dense index that lasts this life.
     private final Map<String, Integer> indexOf = new HashMap<>();
-    private int targets;
-    private String[] id = {}, zone = {};
-    private int[] shardOf = {}, out = {}, life = {};
-    private boolean[] usable = {}, mayTry = {};
-    private long[] launched = {}, heardAt = {}, halvedAt = {}, nextTrial = {};
-    private double[] window = {}, lag = {};
-    private final List<ArrayDeque<Spent>> coldSpent = new ArrayList<>();
+    private final Targets targets = new Targets();
 
     // When to ask discovery again.
     private long askAt = Long.MAX_VALUE;
@@ -89,9 +83,10 @@
         now = time;
         todo = new ArrayList<>();
         happened.forEach(this::learn);
-        for (int t = 0; t < targets; t++) {
+        for (int t = 0; t < targets.count; t++) {
             watchForSilence(t);
         }
+        held.values().forEach(this::watchForLoss);
         nodes.values().forEach(this::serve);
         followList();
         arrangeWake();
@@ -151,7 +146,7 @@
             askWait = FIRST_ASK;
         }
         if (e.scope() != Event.Scope.UPDATE) {
-            Arrays.fill(usable, false);
+            Arrays.fill(targets.usable, false);
         }
         e.targets().forEach(this::listed);
         nodes.forEach(this::findHolder);
@@ -174,51 +169,37 @@
 
     private void listed(Event.Target target) {
         int t = indexOf.computeIfAbsent(target.id(), this::addTarget);
-        zone[t] = String.valueOf(target.zone());
-        shardOf[t] = target.shard();
-        usable[t] = target.health() == Event.Health.ON;
-        if (target.launched() > launched[t]) {
-            launched[t] = target.launched();
+        targets.zone[t] = String.valueOf(target.zone());
+        targets.shardOf[t] = target.shard();
+        targets.usable[t] = target.health() == Event.Health.ON;
+        if (target.launched() > targets.launched[t]) {
+            targets.launched[t] = target.launched();
             forget(t);
         }
         nodes.computeIfAbsent(target.shard(), s -> new Node());
     }
 
     private int addTarget(String name) {
-        int t = targets++;
-        id = Arrays.copyOf(id, targets);
-        zone = Arrays.copyOf(zone, targets);
-        shardOf = Arrays.copyOf(shardOf, targets);
-        out = Arrays.copyOf(out, targets);
-        life = Arrays.copyOf(life, targets);
-        usable = Arrays.copyOf(usable, targets);
-        mayTry = Arrays.copyOf(mayTry, targets);
-        launched = Arrays.copyOf(launched, targets);
-        heardAt = Arrays.copyOf(heardAt, targets);
-        halvedAt = Arrays.copyOf(halvedAt, targets);
-        nextTrial = Arrays.copyOf(nextTrial, targets);
-        window = Arrays.copyOf(window, targets);
-        lag = Arrays.copyOf(lag, targets);
-        coldSpent.add(new ArrayDeque<>());
-        id[t] = name;
+        int t = targets.add(name);
         forget(t);
         return t;
     }
 
     /** A target that has started anew: what was known of its former life no longer holds. */
     private void forget(int t) {
-        window[t] = FIRST_WINDOW;
-        out[t] = 0;
-        life[t]++;
-        lag[t] = 0;
-        nextTrial[t] = 0;
+        targets.window[t] = FIRST_WINDOW;
+        targets.out[t] = 0;
+        targets.life[t]++;
+        targets.lag[t] = 0;
+        targets.nextTrial[t] = 0;
+        targets.good[t] = 1;
     }
 
     private void findHolder(int shard, Node node) {
         node.target = -1;
-        for (int t = 0; t < targets; t++) {
-            boolean newer = node.target < 0 || launched[t] >= launched[node.target];
-            if (shardOf[t] == shard && usable[t] && newer) {
+        for (int t = 0; t < targets.count; t++) {
+            boolean newer = node.target < 0 || targets.launched[t] >= targets.launched[node.target];
+            if (targets.shardOf[t] == shard && targets.usable[t] && newer) {
                 node.target = t;
             }
         }
@@ -261,7 +242,8 @@
 
     private double room(Node n) {
         int t = n.target;
-        return t < 0 || nextTrial[t] > 0 || isCold(t) ? 0 : window[t] / (1 + out[t] + n.waiting);
+        boolean none = t < 0 || targets.nextTrial[t] > 0 || isCold(t);
+        return none ? 0 : targets.window[t] * targets.good[t] / (1 + targets.out[t] + n.waiting);
     }
 
     private void enqueue(Held h) {
@@ -330,7 +312,7 @@
      * is.
      */
     private List<Held> takeLate(Node node) {
-        double expected = node.target < 0 ? 0 : lag[node.target];
+        double expected = node.target < 0 ? 0 : targets.lag[node.target];
         List<Held> late = new ArrayList<>();
         for (Reservation r : node.reservations.values()) {
             for (Held h : List.copyOf(r.queue)) {
@@ -449,10 +431,10 @@
 
     private int roomAt(Node node) {
         int t = node.target;
-        if (t < 0 || nextTrial[t] > 0) {
-            return t >= 0 && mayTry[t] ? 1 : 0;
+        if (t < 0 || targets.nextTrial[t] > 0) {
+            return t >= 0 && targets.mayTry[t] ? 1 : 0;
         }
-        return (int) window[t] - out[t];
+        return (int) targets.window[t] - targets.out[t];
     }
 
     // ---- The rules: every send passes relay, which asks mayRelay ----
@@ -469,22 +451,22 @@
         owed(h).units = Math.max(0, owed(h).units - h.access.units());
         if (isCold(t)) {
             h.spent = new Spent(now, h.access.units());
-            coldSpent.get(t).addLast(h.spent);
+            targets.coldSpent.get(t).addLast(h.spent);
         }
-        heardAt[t] = out[t] == 0 && nextTrial[t] == 0 ? now : heardAt[t];
-        mayTry[t] = false;
+        targets.heardAt[t] = targets.out[t] == 0 && targets.nextTrial[t] == 0 ? now : targets.heardAt[t];
+        targets.mayTry[t] = false;
         h.relays++;
         h.outAt = t;
-        h.outLife = life[t];
+        h.outLife = targets.life[t];
         h.sentAt = now;
-        out[t]++;
-        todo.add(new Action.Relay(h.access.id(), h.abandonAt, id[t]));
+        targets.out[t]++;
+        todo.add(new Action.Relay(h.access.id(), h.abandonAt, targets.id[t]));
         return true;
     }
 
     private boolean mayRelay(Held h, int t) {
         boolean inTime = !h.answered && now < h.abandonAt - ANSWER_AHEAD;
-        return t >= 0 && usable[t] && inTime && noSecondEffect(h, t) && coldBears(h, t) && itsTurn(h)
+        return t >= 0 && targets.usable[t] && inTime && noSecondEffect(h, t) && coldBears(h, t) && itsTurn(h)
                 && withinBudget(h) && withinLimit(h);
     }
 
@@ -494,8 +476,8 @@
         }
         boolean sameGroup = h.ranAt < 0 || switch (h.category.group()) {
             case ALL -> true;
-            case ZONE -> zone[t].equals(zone[h.ranAt]);
-            case CELL -> shardOf[t] == shardOf[h.ranAt];
+            case ZONE -> targets.zone[t].equals(targets.zone[h.ranAt]);
+            case CELL -> targets.shardOf[t] == targets.shardOf[h.ranAt];
         };
         return mayRunAgain(h) && (sameGroup || h.category.repeats() == Repeats.HARMLESS);
     }
@@ -506,7 +488,7 @@
     }
 
     private boolean isCold(int t) {
-        return bounds.fall() > 0 && launched[t] > 0 && now < launched[t] + bounds.cold();
+        return bounds.fall() > 0 && targets.launched[t] > 0 && now < targets.launched[t] + bounds.cold();
     }
 
     /**
@@ -518,12 +500,12 @@
         if (!isCold(t)) {
             return true;
         }
-        if (now < startedAt + bounds.fall() && launched[t] < startedAt) {
+        if (now < startedAt + bounds.fall() && targets.launched[t] < startedAt) {
             return false;
         }
         double spent = h.access.units(), unborne = spent;
-        coldSpent.get(t).removeIf(s -> s.at <= now - bounds.fall());
-        for (Spent s : coldSpent.get(t)) {
+        targets.coldSpent.get(t).removeIf(s -> s.at <= now - bounds.fall());
+        for (Spent s : targets.coldSpent.get(t)) {
             spent += s.units;
             unborne += s.borne ? 0 : s.units;
         }
@@ -534,7 +516,7 @@
     /** The bound grows as the target warms, which is never slower than evenly; the window's start counts. */
     private double coldPart(int t) {
         double share = bounds.coldShare();
-        double warmed = Math.max(0, now - bounds.fall() - launched[t]) / (double) bounds.cold();
+        double warmed = Math.max(0, now - bounds.fall() - targets.launched[t]) / (double) bounds.cold();
         double grown = share > 0 ? (share + (1 - share) * warmed) / share : 1;
         return bounds.coldBears() * grown / Math.max(1, given.initiators());
     }
@@ -591,7 +573,8 @@
         }
         int t = h.outAt;
         h.outAt = -1;
-        out[t] -= h.outLife == life[t] ? 1 : 0;
+        targets.out[t] -= h.outLife == targets.life[t] ? 1 : 0;
+        targets.good[t] += SMOOTHING * ((e.outcome() == Outcome.SUCCEEDED ? 1 : 0) - targets.good[t]);
         judge(t, h, e);
         boolean mayStillRun = MAY_STILL_RUN.contains(e.outcome());
         Turns k = turnsOf(h);
@@ -635,39 +618,60 @@
         if (h.spent != null) {
             h.spent.borne = true;
         }
-        lag[t] += (took - lag[t]) * (lag[t] == 0 ? 1 : SMOOTHING);
+        targets.answeredSent[t] = Math.max(targets.answeredSent[t], h.sentAt);
+        targets.lag[t] += (took - targets.lag[t]) * (targets.lag[t] == 0 ? 1 : SMOOTHING);
         if (took > LATE_PART * shortestAgreed) {
             halve(t, h);
         } else {
-            window[t] = Math.min(WINDOW_CEILING, window[t] + 1 / window[t]);
+            targets.window[t] = Math.min(WINDOW_CEILING, targets.window[t] + 1 / targets.window[t]);
         }
     }
 
     /** Halves once a round trip: what was sent before the last halving tells of the time before it. */
     private void halve(int t, Held h) {
-        if (h.sentAt >= halvedAt[t]) {
-            window[t] = Math.max(1, window[t] / 2);
-            halvedAt[t] = now;
+        if (h.sentAt >= targets.halvedAt[t]) {
+            targets.window[t] = Math.max(1, targets.window[t] / 2);
+            targets.halvedAt[t] = now;
         }
     }
 
     private void heard(int t) {
-        heardAt[t] = now;
-        nextTrial[t] = 0;
+        targets.heardAt[t] = now;
+        targets.nextTrial[t] = 0;
     }
 
     /**
      * A target that owes answers and has given none for far longer than usual gets single trials, ever later.
      */
     private void watchForSilence(int t) {
-        long quiet = now - heardAt[t];
-        if (nextTrial[t] == 0 && out[t] > 0 && quiet > Math.max(shortestAgreed, PATIENCE * lag[t])) {
+        long quiet = now - targets.heardAt[t];
+        double patience = Math.max(shortestAgreed, PATIENCE * targets.lag[t]);
+        if (targets.nextTrial[t] == 0 && targets.out[t] > 0 && quiet > patience) {
             fallSilent(t);
-        } else if (nextTrial[t] > 0 && now >= nextTrial[t]) {
-            nextTrial[t] = now + Math.min(quiet, LONGEST_TRIAL * shortestAgreed);
-            mayTry[t] = !given.allowances().probes();
-            if (!mayTry[t] && usable[t]) {
-                todo.add(new Action.Probe(id[t]));
+        } else if (targets.nextTrial[t] > 0 && now >= targets.nextTrial[t]) {
+            targets.nextTrial[t] = now + Math.min(quiet, LONGEST_TRIAL * shortestAgreed);
+            targets.mayTry[t] = !given.allowances().probes();
+            if (!targets.mayTry[t] && targets.usable[t]) {
+                todo.add(new Action.Probe(targets.id[t]));
+            }
+        }
+    }
+
+    /**
+     * A relay that later ones overtook long ago is presumed lost. Guards against answers or relays that vanish one by
+     * one, whatever takes them: they would fill the window until their clients give up. Could harm where a target
+     * serves in no order; one-shot accesses are therefore let wait, and only their room is used.
+     */
+    private void watchForLoss(Held h) {
+        int t = h.outAt;
+        if (t < 0 || h.outLife != targets.life[t] || targets.answeredSent[t] <= h.sentAt) {
+            return;
+        }
+        if (now - h.sentAt > PATIENCE * targets.lag[t] * Math.max(1, h.access.units() / meanUnits)) {
+            targets.out[t]--;
+            h.outLife = 0;
+            if (given.allowances().cancels() && h.category.repeats() != Repeats.ONE_SHOT) {
+                todo.add(new Action.Cancel(h.access.id(), h.relays - 1));
             }
         }
     }
@@ -678,12 +682,12 @@
      * chance.
      */
     private void fallSilent(int t) {
-        if (nextTrial[t] == 0) {
-            nextTrial[t] = now + shortestAgreed;
-            mayTry[t] = false;
-            window[t] = 1;
-            out[t] = 0;
-            life[t]++;
+        if (targets.nextTrial[t] == 0) {
+            targets.nextTrial[t] = now + shortestAgreed;
+            targets.mayTry[t] = false;
+            targets.window[t] = 1;
+            targets.out[t] = 0;
+            targets.life[t]++;
         }
     }
 
@@ -691,13 +695,13 @@
     private void probed(Event.Probed e) {
         Integer t = indexOf.get(e.target());
         if (t != null && e.outcome() == Outcome.SUCCEEDED) {
-            mayTry[t] = true;
+            targets.mayTry[t] = true;
         }
     }
 
     /** Further relays are made as often as recent ones succeeded. */
     private boolean worthAnother(Held h, int t) {
-        return mayRunAgain(h) && h.relays < given.allowances().maxRelays() && now + lag[t] < h.agreedAt
+        return mayRunAgain(h) && h.relays < given.allowances().maxRelays() && now + targets.lag[t] < h.agreedAt
                 && chance.nextDouble() < Math.max(LEAST_FURTHER, furtherSuccess);
     }
 
@@ -715,7 +719,8 @@
     }
 
     private long advice(int t) {
-        long wait = t < 0 ? shortestAgreed : nextTrial[t] > 0 ? nextTrial[t] - now : (long) lag[t];
+        long trial = t < 0 ? now + shortestAgreed : targets.nextTrial[t];
+        long wait = trial > 0 ? trial - now : (long) targets.lag[t];
         Allowances may = given.allowances();
         return may.advice() ? Math.max(1, Math.min(may.longestAdvice(), wait)) : 0;
     }
--- a/src/main/java/milletyoke/State.java
+++ b/src/main/java/milletyoke/State.java
@@ -1,8 +1,11 @@
 package milletyoke;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.LinkedList;
+import java.util.List;
 import java.util.Map;
 import milletyoke.port.Event;
 import milletyoke.port.Provisioning.Category;
@@ -13,6 +16,53 @@
     private State() {
     }
 
+    /** Figures about targets, in parallel arrays under a dense index that lasts one life of the initiator. */
+    static final class Targets {
+        int count;
+        String[] id = {};
+        String[] zone = {};
+        int[] shardOf = {};
+        boolean[] usable = {};
+        long[] launched = {};
+        /** Relays out; those of an earlier life, or from before a silence, are not counted. */
+        int[] out = {};
+        int[] life = {};
+        double[] window = {};
+        /** The usual lag of an answer, and the smoothed part of relays that succeeded. */
+        double[] lag = {};
+        double[] good = {};
+        long[] heardAt = {};
+        /** When the latest answered relay was sent, and when the window was last halved. */
+        long[] answeredSent = {};
+        long[] halvedAt = {};
+        /** When a silent target is tried again, 0 for one that is not silent; and whether one access may try now. */
+        long[] nextTrial = {};
+        boolean[] mayTry = {};
+        final List<ArrayDeque<Spent>> coldSpent = new ArrayList<>();
+
+        int add(String name) {
+            int t = count++;
+            id = Arrays.copyOf(id, count);
+            zone = Arrays.copyOf(zone, count);
+            shardOf = Arrays.copyOf(shardOf, count);
+            usable = Arrays.copyOf(usable, count);
+            launched = Arrays.copyOf(launched, count);
+            out = Arrays.copyOf(out, count);
+            life = Arrays.copyOf(life, count);
+            window = Arrays.copyOf(window, count);
+            lag = Arrays.copyOf(lag, count);
+            good = Arrays.copyOf(good, count);
+            heardAt = Arrays.copyOf(heardAt, count);
+            answeredSent = Arrays.copyOf(answeredSent, count);
+            halvedAt = Arrays.copyOf(halvedAt, count);
+            nextTrial = Arrays.copyOf(nextTrial, count);
+            mayTry = Arrays.copyOf(mayTry, count);
+            coldSpent.add(new ArrayDeque<>());
+            id[t] = name;
+            return t;
+        }
+    }
+
     /** One access from taking to its final answer, and on until its last relay has an outcome. */
     static final class Held {
         Event.Access access;
--- a/src/main/java/milletyoke/port/Action.java
+++ b/src/main/java/milletyoke/port/Action.java
@@ -10,6 +10,9 @@
     /** Final answer that promises nothing. */
     record BreakOff(String id) implements Action {}
 
+    /** Stop waiting for one relay; whether its target stops is another matter. */
+    record Cancel(String id, int relay) implements Action {}
+
     record Probe(String target) implements Action {}
 
     record Wake(long in) implements Action {}
--- a/src/main/java/milletyoke/port/Provisioning.java
+++ b/src/main/java/milletyoke/port/Provisioning.java
@@ -21,7 +21,7 @@
     public record Plan(String name, double reserve, double weight, double limitRate, double limitDepth,
             double limitSlack) {}
 
-    public record Allowances(int maxRelays, boolean probes, boolean advice, long longestAdvice) {}
+    public record Allowances(int maxRelays, boolean probes, boolean cancels, boolean advice, long longestAdvice) {}
 
     public record Bounds(long keyQuiet, long cold, double coldShare, double coldBears, long fall, double tipMultiple,
             double relayBudgetFree, double relayBudgetShare, long relayBudgetSpan, long mustAskIn) {}
--- a/src/main/java/milletyoke/sim/Codec.java
+++ b/src/main/java/milletyoke/sim/Codec.java
@@ -64,6 +64,8 @@
             out.append("DECLINE\t").append(a.id()).append('\t').append(a.retryIn());
         } else if (action instanceof Action.BreakOff a) {
             out.append("RESPOND_ERROR\t").append(a.id());
+        } else if (action instanceof Action.Cancel a) {
+            out.append("RETRACT\t").append(a.id()).append('\t').append(a.relay());
         } else if (action instanceof Action.Probe a) {
             out.append("TOUCH\t").append(a.target());
         } else if (action instanceof Action.Wake a) {
@@ -104,7 +106,7 @@
         JsonNode l = s.path("limits");
         JsonNode r = s.path("rules");
         var allowances = new Provisioning.Allowances((int) whole(l, "maxAttempts"), l.path("probes").asBoolean(),
-                l.path("retryAfter").asBoolean(), whole(l, "maxRetryAfter"));
+                l.path("mayCancel").asBoolean(), l.path("retryAfter").asBoolean(), whole(l, "maxRetryAfter"));
         var bounds = new Provisioning.Bounds(whole(r, "keyQuiet"), whole(r, "cold"), r.path("coldShare").asDouble(),
                 s.path("specifics").path("coldBears").asDouble(), whole(r, "fall"),
                 r.path("tipMultiple").asDouble(), r.path("budgetFree").asDouble(),
--- a/src/test/java/milletyoke/ScenarioTest.java
+++ b/src/test/java/milletyoke/ScenarioTest.java
@@ -87,6 +87,8 @@
             return "reject " + a.id() + (a.retryIn() > 0 ? " back=" + a.retryIn() / 1000 : "");
         } else if (action instanceof Action.BreakOff a) {
             return "break " + a.id();
+        } else if (action instanceof Action.Cancel a) {
+            return "cancel " + a.id() + " " + a.relay();
         }
         return action instanceof Action.Probe a ? "probe " + a.target() : "follow";
     }
@@ -129,7 +131,7 @@
         g.named.putAll(given);
         return new Provisioning((int) g.figure("initiators", 1), categories, plans,
                 new Provisioning.Allowances((int) g.figure("relays", 3), g.figure("probes", 0) > 0,
-                        g.figure("advice", 0) > 0, g.ms("advice", 0)),
+                        g.figure("cancels", 0) > 0, g.figure("advice", 0) > 0, g.ms("advice", 0)),
                 new Provisioning.Bounds(g.ms("quiet", 0), g.ms("cold", 0), g.figure("coldShare", 0.25),
                         g.figure("bears", 0), g.ms("fall", 0), g.figure("tip", 2), g.figure("free", 0),
                         g.figure("share", 0), g.ms("span", 0), g.ms("askIn", 0)), g.figure("ask", 0) > 0);
