--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -456,6 +456,7 @@
         targets.heardAt[t] = targets.out[t] == 0 && targets.nextTrial[t] == 0 ? now : targets.heardAt[t];
         targets.mayTry[t] = false;
         h.relays++;
+        h.lost = false;
         h.outAt = t;
         h.outLife = targets.life[t];
         h.sentAt = now;
@@ -573,7 +574,7 @@
         }
         int t = h.outAt;
         h.outAt = -1;
-        targets.out[t] -= h.outLife == targets.life[t] ? 1 : 0;
+        giveRoom(h, t);
         targets.good[t] += SMOOTHING * ((e.outcome() == Outcome.SUCCEEDED ? 1 : 0) - targets.good[t]);
         judge(t, h, e);
         boolean mayStillRun = MAY_STILL_RUN.contains(e.outcome());
@@ -598,6 +599,10 @@
         }
     }
 
+    private void giveRoom(Held h, int t) {
+        targets.out[t] -= !h.lost && h.outLife == targets.life[t] ? 1 : 0;
+    }
+
     /** What the outcome tells of the target: its round trip, its window and whether it still answers. */
     private void judge(int t, Held h, Event.Ended e) {
         switch (e.outcome()) {
@@ -664,12 +669,12 @@
      */
     private void watchForLoss(Held h) {
         int t = h.outAt;
-        if (t < 0 || h.outLife != targets.life[t] || targets.answeredSent[t] <= h.sentAt) {
+        if (t < 0 || h.lost || targets.answeredSent[t] <= h.sentAt) {
             return;
         }
         if (now - h.sentAt > PATIENCE * targets.lag[t] * Math.max(1, h.access.units() / meanUnits)) {
-            targets.out[t]--;
-            h.outLife = 0;
+            giveRoom(h, t);
+            h.lost = true;
             if (given.allowances().cancels() && h.category.repeats() != Repeats.ONE_SHOT) {
                 todo.add(new Action.Cancel(h.access.id(), h.relays - 1));
             }
--- a/src/main/java/milletyoke/State.java
+++ b/src/main/java/milletyoke/State.java
@@ -81,6 +81,8 @@
         int ranAt = -1;
         long ranSince;
         boolean answered;
+        /** Its relay is out, and presumed lost. */
+        boolean lost;
         Spent spent;
     }
 
