--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -649,8 +649,8 @@
      * A target that owes answers and has given none for far longer than usual gets single trials, ever later.
      */
     private void watchForSilence(int t) {
-        long quiet = now - targets.heardAt[t];
-        double patience = Math.max(shortestAgreed, PATIENCE * targets.lag[t]);
+        long quiet = Math.max(now - targets.heardAt[t], shortestAgreed / 2);
+        double patience = Math.max(shortestAgreed / 2, PATIENCE * targets.lag[t]);
         if (targets.nextTrial[t] == 0 && targets.out[t] > 0 && quiet > patience) {
             fallSilent(t);
         } else if (targets.nextTrial[t] > 0 && now >= targets.nextTrial[t]) {
@@ -688,7 +688,7 @@
      */
     private void fallSilent(int t) {
         if (targets.nextTrial[t] == 0) {
-            targets.nextTrial[t] = now + shortestAgreed;
+            targets.nextTrial[t] = now;
             targets.mayTry[t] = false;
             targets.window[t] = 1;
             targets.out[t] = 0;
