--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -41,7 +41,7 @@
     private static final long FIRST_ASK = 500_000;
     /** The rest of a limit's slack is for sums that another counts in another order. */
     private static final double SLACK_USED = 0.9;
-    /** What a cold target has borne may have been dearer than its units tell, so not all of the rest is used. */
+    /** What a cold target has borne may have been cheaper than its units tell: not all the rest is used. */
     private static final double COLD_SPARE = 0.5;
     private static final Set<Outcome> MAY_STILL_RUN =
             EnumSet.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED);
@@ -168,31 +168,24 @@
     }
 
     private void listed(Event.Target target) {
-        int t = indexOf.computeIfAbsent(target.id(), this::addTarget);
+        int t = indexOf.computeIfAbsent(target.id(), targets::add);
         targets.zone[t] = String.valueOf(target.zone());
         targets.shardOf[t] = target.shard();
         targets.usable[t] = target.health() == Event.Health.ON;
-        if (target.launched() > targets.launched[t]) {
+        if (targets.life[t] == 0 || target.launched() > targets.launched[t]) {
             targets.launched[t] = target.launched();
             forget(t);
         }
         nodes.computeIfAbsent(target.shard(), s -> new Node());
     }
 
-    private int addTarget(String name) {
-        int t = targets.add(name);
-        forget(t);
-        return t;
-    }
-
-    /** A target that has started anew: what was known of its former life no longer holds. */
+    /** A target that is new or has started anew: what was known of its former life no longer holds. */
     private void forget(int t) {
         targets.window[t] = FIRST_WINDOW;
         targets.out[t] = 0;
         targets.life[t]++;
         targets.lag[t] = 0;
         targets.nextTrial[t] = 0;
-        targets.good[t] = 1;
     }
 
     private void findHolder(int shard, Node node) {
@@ -243,7 +236,7 @@
     private double room(Node n) {
         int t = n.target;
         boolean none = t < 0 || targets.nextTrial[t] > 0 || isCold(t);
-        return none ? 0 : targets.window[t] * targets.good[t] / (1 + targets.out[t] + n.waiting);
+        return none ? 0 : targets.window[t] / (1 + targets.out[t] + n.waiting);
     }
 
     private void enqueue(Held h) {
@@ -575,7 +568,6 @@
         int t = h.outAt;
         h.outAt = -1;
         giveRoom(h, t);
-        targets.good[t] += SMOOTHING * ((e.outcome() == Outcome.SUCCEEDED ? 1 : 0) - targets.good[t]);
         judge(t, h, e);
         boolean mayStillRun = MAY_STILL_RUN.contains(e.outcome());
         Turns k = turnsOf(h);
@@ -650,7 +642,7 @@
      */
     private void watchForSilence(int t) {
         long quiet = Math.max(now - targets.heardAt[t], shortestAgreed / 2);
-        double patience = Math.max(shortestAgreed * 0.75, PATIENCE * targets.lag[t]);
+        double patience = Math.max(shortestAgreed / 2, PATIENCE * targets.lag[t]);
         if (targets.nextTrial[t] == 0 && targets.out[t] > 0 && quiet > patience) {
             fallSilent(t);
         } else if (targets.nextTrial[t] > 0 && now >= targets.nextTrial[t]) {
--- a/src/main/java/milletyoke/State.java
+++ b/src/main/java/milletyoke/State.java
@@ -28,9 +28,8 @@
         int[] out = {};
         int[] life = {};
         double[] window = {};
-        /** The usual lag of an answer, and the smoothed part of relays that succeeded. */
+        /** The usual lag of an answer. */
         double[] lag = {};
-        double[] good = {};
         long[] heardAt = {};
         /** When the latest answered relay was sent, and when the window was last halved. */
         long[] answeredSent = {};
@@ -51,7 +50,6 @@
             life = Arrays.copyOf(life, count);
             window = Arrays.copyOf(window, count);
             lag = Arrays.copyOf(lag, count);
-            good = Arrays.copyOf(good, count);
             heardAt = Arrays.copyOf(heardAt, count);
             answeredSent = Arrays.copyOf(answeredSent, count);
             halvedAt = Arrays.copyOf(halvedAt, count);
--- a/src/test/java/milletyoke/ScenarioTest.java
+++ b/src/test/java/milletyoke/ScenarioTest.java
@@ -6,8 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.*;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
+import java.util.stream.*;
 import milletyoke.port.*;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -155,19 +154,14 @@
 
         /** One line for each of a range of ids, such as r1..r20. */
         List<Words> each() {
-            if (words.size() < 3 || !words.get(2).contains("..")) {
-                return List.of(this);
-            }
-            String[] ends = words.get(2).split("\\.\\.");
-            String stem = ends[0].replaceAll("\\d+$", "");
-            List<Words> all = new ArrayList<>();
-            for (int i = number(ends[0]); i <= number(ends[1]); i++) {
-                Words one = new Words(String.join(" ", words));
-                one.words.set(2, stem + i);
-                one.named.putAll(named);
-                all.add(one);
-            }
-            return all;
+            String[] ends = words.size() < 3 ? new String[0] : words.get(2).split("\\.\\.");
+            return ends.length < 2 ? List.of(this)
+                    : IntStream.rangeClosed(number(ends[0]), number(ends[1])).mapToObj(i -> {
+                        Words one = new Words(String.join(" ", words));
+                        one.words.set(2, ends[0].replaceAll("\\d+$", "") + i);
+                        one.named.putAll(named);
+                        return one;
+                    }).toList();
         }
 
         private static int number(String id) {
