--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -682,9 +682,6 @@
         if (targets.nextTrial[t] == 0) {
             targets.nextTrial[t] = now;
             targets.mayTry[t] = false;
-            targets.window[t] = 1;
-            targets.out[t] = 0;
-            targets.life[t]++;
         }
     }
 
