--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -288,7 +288,7 @@
             return;
         }
         List<Held> late = takeLate(node);
-        while (!silentLong(node.target) && batch(node)) {
+        while (batch(node)) {
             continue;
         }
         for (Held h : late) {
@@ -298,11 +298,6 @@
         }
     }
 
-    /** Beyond the first trial of a silent target only what is late already is risked on it. */
-    private boolean silentLong(int t) {
-        return t >= 0 && targets.nextTrial[t] > 0 && now > targets.heardAt[t] + shortestAgreed;
-    }
-
     /**
      * What can no longer be answered in its agreed time yields to what can: it takes the room that is left,
      * or gets its answer at once. Guards against a backlog of any cause (surge, pause, silence, no target)
