--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -643,7 +643,7 @@
     private void watchForSilence(int t) {
         long quiet = Math.max(now - targets.heardAt[t], shortestAgreed / 2);
         double patience = Math.max(shortestAgreed / 2, PATIENCE * targets.lag[t]);
-        if (targets.nextTrial[t] == 0 && targets.out[t] > 0 && quiet > 4 * patience) {
+        if (targets.nextTrial[t] == 0 && targets.out[t] > 0 && quiet > patience) {
             fallSilent(t);
         } else if (targets.nextTrial[t] > 0 && now >= targets.nextTrial[t]) {
             targets.nextTrial[t] = now + Math.min(quiet, LONGEST_TRIAL * shortestAgreed);
