--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -619,7 +619,7 @@
         targets.lag[t] += (took - targets.lag[t]) * (targets.lag[t] == 0 ? 1 : SMOOTHING);
         if (took > LATE_PART * shortestAgreed) {
             halve(t, h);
-        } else if (targets.out[t] + 1 >= (int) targets.window[t]) {
+        } else {
             targets.window[t] = Math.min(WINDOW_CEILING, targets.window[t] + 1 / targets.window[t]);
         }
     }
