--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -236,7 +236,7 @@
     private double room(Node n) {
         int t = n.target;
         boolean none = t < 0 || targets.nextTrial[t] > 0 || isCold(t);
-        return none ? 0 : targets.window[t] / ((1 + targets.out[t] + n.waiting) * (LATE_PART * shortestAgreed + targets.lag[t]));
+        return none ? 0 : targets.window[t] / (1 + targets.out[t] + n.waiting);
     }
 
     private void enqueue(Held h) {
