--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -210,7 +210,7 @@
         h.firstTaken = now - (longestTtl.merge(category.name(), e.ttl(), Math::max) - e.ttl());
         h.agreedAt = Math.min(h.firstTaken + category.agreedTime(), h.abandonAt - ANSWER_AHEAD);
         held.put(e.id(), h);
-        taken.addLast(now);
+        inSpan(taken).addLast(now);
         meanUnits += (e.units() - meanUnits) * (meanUnits == 0 ? 1 : SMOOTHING);
         if (category.keyOrdered() && e.extent() != null) {
             turns.computeIfAbsent(e.extent(), k -> new Turns()).order.addLast(h);
@@ -437,7 +437,7 @@
             return false;
         }
         if (h.relays > 0) {
-            further.addLast(now);
+            inSpan(further).addLast(now);
         } else if (hasLimit(h)) {
             limit(h).units -= h.access.units();
         }
@@ -525,13 +525,15 @@
     }
 
     private boolean withinBudget(Held h) {
-        long span = bounds.relayBudgetSpan();
-        if (h.relays == 0 || span == 0) {
-            return true;
+        return h.relays == 0 || bounds.relayBudgetSpan() == 0 || inSpan(further).size() + 1
+                <= bounds.relayBudgetFree() + bounds.relayBudgetShare() * inSpan(taken).size();
+    }
+
+    private ArrayDeque<Long> inSpan(ArrayDeque<Long> times) {
+        while (!times.isEmpty() && times.peekFirst() <= now - bounds.relayBudgetSpan()) {
+            times.removeFirst();
         }
-        taken.removeIf(at -> at <= now - span);
-        further.removeIf(at -> at <= now - span);
-        return further.size() + 1 <= bounds.relayBudgetFree() + bounds.relayBudgetShare() * taken.size();
+        return times;
     }
 
     private boolean withinLimit(Held h) {
@@ -655,8 +657,8 @@
     }
 
     /**
-     * A relay that later ones overtook long ago is presumed lost. Guards against answers or relays that vanish one by
-     * one, whatever takes them: they would fill the window until their clients give up. Could harm where a target
+     * A relay that later ones overtook long ago is presumed lost. Guards against answers or relays that vanish
+     * one by one, whatever takes them: they would fill the window until clients give up. Could harm where a target
      * serves in no order; one-shot accesses are therefore let wait, and only their room is used.
      */
     private void watchForLoss(Held h) {
@@ -695,8 +697,8 @@
 
     /** Further relays are made as often as recent ones succeeded. */
     private boolean worthAnother(Held h, int t) {
-        return mayRunAgain(h) && h.relays < given.allowances().maxRelays() && now + targets.lag[t] < h.agreedAt
-                && chance.nextDouble() < Math.max(LEAST_FURTHER, furtherSuccess);
+        return mayRunAgain(h) && h.relays < given.allowances().maxRelays()
+                && now + targets.lag[t] < h.agreedAt && chance.nextDouble() < Math.max(LEAST_FURTHER, furtherSuccess);
     }
 
     // ---- Final answers ----
@@ -735,6 +737,9 @@
             Turns k = turnsOf(h);
             if (k != null) {
                 k.order.remove(h);
+                if (k.order.isEmpty() && now >= k.restUntil) {
+                    turns.remove(h.access.extent());
+                }
             }
         }
     }
