--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -657,9 +657,9 @@
     }
 
     /**
-     * A relay that later ones overtook long ago is presumed lost. Guards against answers or relays that vanish
-     * one by one, whatever takes them: they would fill the window until clients give up. Could harm where a target
-     * serves in no order; one-shot accesses are therefore let wait, and only their room is used.
+     * A relay that later ones overtook long ago is presumed lost. Guards against answers or relays that
+     * vanish one by one, whatever takes them: they would fill the window until clients give up. Could harm
+     * where a target serves in no order; one-shot accesses are therefore let wait, and only their room is used.
      */
     private void watchForLoss(Held h) {
         int t = h.outAt;
@@ -697,8 +697,9 @@
 
     /** Further relays are made as often as recent ones succeeded. */
     private boolean worthAnother(Held h, int t) {
-        return mayRunAgain(h) && h.relays < given.allowances().maxRelays()
-                && now + targets.lag[t] < h.agreedAt && chance.nextDouble() < Math.max(LEAST_FURTHER, furtherSuccess);
+        boolean inTime = now + targets.lag[t] < h.agreedAt;
+        return mayRunAgain(h) && h.relays < given.allowances().maxRelays() && inTime
+                && chance.nextDouble() < Math.max(LEAST_FURTHER, furtherSuccess);
     }
 
     // ---- Final answers ----
