--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -659,7 +659,7 @@
     /**
      * A relay that later ones overtook long ago is presumed lost. Guards against answers or relays that
      * vanish one by one, whatever takes them: they would fill the window until clients give up. Could harm
-     * where a target serves in no order; one-shot accesses are therefore let wait, and only their room is used.
+     * where a target serves in no order; so one-shot accesses are let wait, and only their room is used.
      */
     private void watchForLoss(Held h) {
         int t = h.outAt;
