--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -20,10 +20,7 @@
     private static final double FIRST_WINDOW = 4;
     private static final double WINDOW_CEILING = 16;
     private static final double MARGIN_STEPS = 1.5;
-    /**
-     * An answer is late past this part of the shortest agreed time: at a target it would wait in no tag
-     * order.
-     */
+    /** An answer is late past this part of the shortest agreed time: at a target no tag order holds. */
     private static final double LATE_PART = 1.0 / 6;
     // Smoothing, as TCP does it for its round trips: a figure settles in about eight answers.
     private static final double SMOOTHING = 1.0 / 8;
@@ -359,8 +356,7 @@
         for (Reservation r : node.reservations.values()) {
             Held h = sendable(node, r);
             boolean owed = h != null && owed(h).units >= h.access.units();
-            boolean first = least == null
-                    || (owed == leastOwed ? r.finish < least.finish : owed);
+            boolean first = least == null || (owed == leastOwed ? r.finish < least.finish : owed);
             if (h != null && first) {
                 least = r;
                 leastOwed = owed;
--- a/src/main/java/milletyoke/State.java
+++ b/src/main/java/milletyoke/State.java
@@ -24,7 +24,7 @@
         int[] shardOf = {};
         boolean[] usable = {};
         long[] launched = {};
-        /** Relays out; those of an earlier life, or from before a silence, are not counted. */
+        /** Relays out; those of an earlier life, or presumed lost, are not counted. */
         int[] out = {};
         int[] life = {};
         double[] window = {};
