--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -197,11 +197,6 @@
 
     // ---- Taking ----
 
-    /**
-     * A client's repeat has less time left, and that tells when it first came. Guards against clients with no
-     * patience, for whatever reason: less time than the agreed one is taken for theirs from the start. Could
-     * harm where repeats come that late: they count as new, and may fail once more.
-     */
     private void take(Event.Access e) {
         Category category = categories.get(e.category());
         Held h = new Held();
@@ -209,8 +204,7 @@
         h.category = category;
         h.plan = plans.get(e.plan());
         h.abandonAt = now + e.ttl();
-        long longest = longestTtl.merge(category.name(), e.ttl(), Math::max);
-        h.firstTaken = e.ttl() < category.agreedTime() ? now : now - (longest - e.ttl());
+        h.firstTaken = now - (longestTtl.merge(category.name(), e.ttl(), Math::max) - e.ttl());
         h.agreedAt = Math.min(h.firstTaken + category.agreedTime(), h.abandonAt - ANSWER_AHEAD);
         held.put(e.id(), h);
         inSpan(taken).addLast(now);
