Where answers come late a probe goes first; what waits there bounds what joins

Cause: with 50 to 230 initiators a window of one each fills every node's queue; one initiator hears from a node every few seconds only, so no window of its own can tell. Where more than one answer in twenty of late took over half the shortest agreed time, a probe goes before an access; the waiting it tells bounds what joins, more for volumes owed their reserve, a random part for others. Guards against any load that others bring; could harm where probes are dear, or answered later than work.

--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -1,6 +1,7 @@
 package milletyoke;
 
 import java.util.*;
+import java.util.stream.IntStream;
 import milletyoke.port.Action;
 import milletyoke.port.Event;
 import milletyoke.port.Outcome;
@@ -9,10 +10,9 @@
 import milletyoke.State.*;
 
 /**
- * All decisions of one initiator. Whoever hosts it makes one object for each start, calls {@link #decide}
- * with the time and what happened since the last call, and carries out what it returns, in that order. The
- * first event is the start; the interface is the package milletyoke.port. The design, and each departure from
- * it, is in docs/design.md.
+ * All decisions of one initiator. Its host makes one object for each start, calls {@link #decide} with the
+ * time and what happened since, the start first, and carries out what it returns, in that order. The
+ * interface is the package milletyoke.port; the design, and each departure, is in docs/design.md.
  */
 public final class Decide {
     // The design's figures.
@@ -26,6 +26,10 @@
     private static final double SMOOTHING = 1.0 / 8;
     /** A target that owes answers is silent once it has given none for this many of its usual lags. */
     private static final double PATIENCE = 4;
+    /** From this part of answers on that took over half of the shortest agreed time, probes go first. */
+    private static final double SUSPECT = 0.05;
+    /** What is said to wait at a target may take this part of that time, for accesses owed and for others. */
+    private static final double JOIN_OWED = 0.75, JOIN_OTHERS = 0.25;
     /** However few further relays succeed, this part is still tried, to see whether they do again. */
     private static final double LEAST_FURTHER = 0.1;
     /** A silent target is tried again ever later, up to this many of the shortest agreed time. */
@@ -73,18 +77,20 @@
     private final Map<String, Long> longestTtl = new HashMap<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>(), further = new ArrayDeque<>();
     private double furtherSuccess = 1;
+    private double lateShare;
+    /** What an access takes at a target where no other waits. */
+    private double aloneLag;
     private double meanUnits;
 
     /** The one entry point: takes what happened, returns what is to be done. */
     public List<Action> decide(long time, List<Event> happened) {
         now = time;
+        wakeAt = now >= wakeAt ? Long.MAX_VALUE : wakeAt;
         todo = new ArrayList<>();
         happened.forEach(this::learn);
-        for (int t = 0; t < targets.count; t++) {
-            watchForSilence(t);
-        }
+        IntStream.range(0, targets.count).forEach(this::watchForSilence);
         held.values().forEach(this::watchForLoss);
-        nodes.values().forEach(this::serve);
+        nodes.values().stream().filter(n -> n.waiting > 0).forEach(this::serve);
         followList();
         arrangeWake();
         return todo;
@@ -99,12 +105,10 @@
             take(e);
         } else if (event instanceof Event.Ended e) {
             ended(e);
-        } else if (event instanceof Event.Probed e) {
+        } else if (event instanceof Event.Probed e && indexOf.containsKey(e.target())) {
             probed(e);
-        } else if (event instanceof Event.Over e) {
+        } else if (event instanceof Event.Over e && held.containsKey(e.id())) {
             leave(held.get(e.id()));
-        } else if (event instanceof Event.Alarm) {
-            wakeAt = Long.MAX_VALUE;
         }
     }
 
@@ -139,9 +143,7 @@
             askAgain();
             return;
         }
-        if (e.scope() != Event.Scope.RESTORED) {
-            askWait = FIRST_ASK;
-        }
+        askWait = e.scope() == Event.Scope.RESTORED ? askWait : FIRST_ASK;
         if (e.scope() != Event.Scope.UPDATE) {
             Arrays.fill(targets.usable, false);
         }
@@ -199,12 +201,10 @@
 
     private void take(Event.Access e) {
         Category category = categories.get(e.category());
-        Held h = new Held();
-        h.access = e;
-        h.category = category;
-        h.plan = plans.get(e.plan());
+        Held h = new Held(e, category, plans.get(e.plan()));
         h.abandonAt = now + e.ttl();
-        h.firstTaken = now - (longestTtl.merge(category.name(), e.ttl(), Math::max) - e.ttl());
+        long longest = longestTtl.merge(category.name(), e.ttl(), Math::max);
+        h.firstTaken = e.ttl() < category.agreedTime() ? now : now - (longest - e.ttl());
         h.agreedAt = Math.min(h.firstTaken + category.agreedTime(), h.abandonAt - ANSWER_AHEAD);
         held.put(e.id(), h);
         inSpan(taken).addLast(now);
@@ -216,10 +216,7 @@
         enqueue(h);
     }
 
-    /**
-     * A new object goes to one target drawn at random, with odds in step with the room each is thought to
-     * have.
-     */
+    /** A new object goes to a target drawn at random, odds in step with the room each is thought to have. */
     private Node draw() {
         double left = chance.nextDouble() * nodes.values().stream().mapToDouble(this::room).sum();
         Node drawn = null;
@@ -233,7 +230,8 @@
     private double room(Node n) {
         int t = n.target;
         boolean none = t < 0 || targets.nextTrial[t] > 0 || isCold(t);
-        return none ? 0 : targets.window[t] / (1 + targets.out[t] + n.waiting);
+        double others = isTold(t) ? targets.crowd[t] / Math.max(1, aloneLag) : 0;
+        return none ? 0 : targets.window[t] / (1 + targets.out[t] + n.waiting + others);
     }
 
     private void enqueue(Held h) {
@@ -242,27 +240,20 @@
         r.weight = h.plan == null || h.plan.weight() <= 0 ? 1 : h.plan.weight();
         if (r.queue.isEmpty()) {
             r.start = Math.max(node.virtualTime, r.finish);
-            double least = Double.POSITIVE_INFINITY;
-            for (Reservation other : node.reservations.values()) {
-                least = other.queue.isEmpty() ? least : Math.min(least, other.extra);
-            }
-            r.extra = least == Double.POSITIVE_INFINITY ? r.extra : Math.max(r.extra, least);
+            double least = node.reservations.values().stream().filter(other -> !other.queue.isEmpty())
+                    .mapToDouble(other -> other.extra).min().orElse(r.extra);
+            r.extra = Math.max(r.extra, least);
         }
         r.queue.add(placeIn(r.queue, h), h);
         retag(r);
         node.waiting++;
     }
 
-    /**
-     * Inside one volume importance goes first, then the newest: a backlog then makes few very late, not all.
-     */
+    /** Inside one volume importance goes first, then the newest: a backlog makes few very late, not all. */
     private static int placeIn(LinkedList<Held> queue, Held h) {
-        int at = 0;
-        for (Held other : queue) {
-            double more = other.category.importance() - h.category.importance();
-            at += more > 0 || more == 0 && other.firstTaken >= h.firstTaken ? 1 : 0;
-        }
-        return at;
+        double own = h.category.importance();
+        return (int) queue.stream().filter(o -> o.category.importance() > own
+                || o.category.importance() == own && o.firstTaken >= h.firstTaken).count();
     }
 
     private static double step(Reservation r, Held h) {
@@ -281,28 +272,55 @@
     // ---- Serving a node ----
 
     private void serve(Node node) {
-        if (node.waiting == 0) {
-            return;
-        }
+        boolean asking = mustAsk(node.target);
         List<Held> late = takeLate(node);
-        while (batch(node)) {
+        while (!asking && batch(node)) {
             continue;
         }
         for (Held h : late) {
-            if (roomAt(node) <= 0 || !relay(h, node.target)) {
+            if (asking || roomAt(node) <= 0 || !fits(h, node.target) || !relay(h, node.target)) {
                 giveUp(h);
             }
         }
     }
 
     /**
-     * What can no longer be answered in its agreed time yields to what can: it takes the room that is left,
-     * or gets its answer at once. Guards against a backlog of any cause (surge, pause, silence, no target)
-     * that would make all that comes later late as well. Could harm where the lag is thought longer than it
-     * is.
+     * Whether to wait for a probe, sent now if the last one is old. Where answers come late, one goes first:
+     * with many initiators a window of one each fills a queue that each hears of too seldom. Guards against
+     * any load that others bring; could harm where probes are dear, or answered later than work.
+     */
+    private boolean mustAsk(int t) {
+        if (t < 0 || !given.allowances().probes() || lateShare < SUSPECT || targets.nextTrial[t] > 0) {
+            return false;
+        }
+        if (targets.askedAt[t] == 0 && !isTold(t)) {
+            targets.askedAt[t] = now;
+            todo.add(new Action.Probe(targets.id[t]));
+        }
+        return targets.askedAt[t] > 0;
+    }
+
+    private boolean isTold(int t) {
+        return t >= 0 && now - targets.toldAt[t] < shortestAgreed / 2;
+    }
+
+    private double expected(int t) {
+        return t < 0 || targets.askedAt[t] > 0 ? 0 : isTold(t) ? targets.crowd[t] + aloneLag : targets.lag[t];
+    }
+
+    /** Whether an access may join what is said to wait at the target; the draw keeps hosts out of step. */
+    private boolean fits(Held h, int t) {
+        double part = isOwed(h) ? JOIN_OWED : JOIN_OTHERS * targets.bar[t];
+        return !isTold(t) || targets.crowd[t] <= part * shortestAgreed;
+    }
+
+    /**
+     * What can no longer be answered in its agreed time takes the room that is left, or gets its answer at
+     * once. Guards against a backlog of any cause (surge, pause, silence, no target) that would make all that
+     * comes after it late too. Could harm where the lag is thought longer than it is.
      */
     private List<Held> takeLate(Node node) {
-        double expected = node.target < 0 ? 0 : targets.lag[node.target];
+        double expected = expected(node.target);
         List<Held> late = new ArrayList<>();
         for (Reservation r : node.reservations.values()) {
             for (Held h : List.copyOf(r.queue)) {
@@ -316,10 +334,7 @@
         return late;
     }
 
-    /**
-     * One base batch by least finish tag, and beside each of it the inserts that may join; false if it is
-     * empty.
-     */
+    /** One base batch by least finish tag, beside each of it the inserts that may join; false if empty. */
     private boolean batch(Node node) {
         int room = roomAt(node);
         int most = Math.min(BASE_BATCH, (room + 1) / 2);
@@ -346,16 +361,15 @@
     }
 
     /**
-     * The least finish tag among the volumes that are owed part of their reserve; if none is, among all.
-     * Guards reserves against many volumes asking for more at once, where weights alone would deal them less.
-     * Could harm the shares by weight if reserves took the whole node for long.
+     * The least finish tag among volumes owed part of their reserve; if none is, among all. Guards reserves
+     * where many ask for more; could harm the shares by weight if reserves took the whole node for long.
      */
     private Reservation leastFinish(Node node) {
         Reservation least = null;
         boolean leastOwed = false;
         for (Reservation r : node.reservations.values()) {
             Held h = sendable(node, r);
-            boolean owed = h != null && owed(h).units >= h.access.units();
+            boolean owed = h != null && isOwed(h);
             boolean first = least == null || (owed == leastOwed ? r.finish < least.finish : owed);
             if (h != null && first) {
                 least = r;
@@ -366,23 +380,20 @@
     }
 
     private Held sendable(Node node, Reservation r) {
-        for (Held h : r.queue) {
-            if (mayRelay(h, node.target)) {
-                return h;
-            }
-        }
-        return null;
+        int t = node.target;
+        return r.queue.stream().filter(h -> mayRelay(h, t) && fits(h, t)).findFirst().orElse(null);
     }
 
-    /**
-     * What this host owes a volume of its reserve: a second of it and one access of twice the usual size at
-     * most.
-     */
+    /** What this host owes a volume of its reserve: at most a second, and an access of twice the mean. */
     private Store owed(Held h) {
         double reserve = h.plan == null ? 0 : h.plan.reserve();
         return filled(reserves, h, reserve, reserve + 2 * meanUnits);
     }
 
+    private boolean isOwed(Held h) {
+        return owed(h).units >= h.access.units();
+    }
+
     /** Takes out of its queue one access of the same extent, if the margin lets it join. */
     private Held insert(Node node, Held beside, int room) {
         String extent = beside.access.extent();
@@ -392,7 +403,7 @@
         for (Reservation r : node.reservations.values()) {
             for (Held h : r.queue) {
                 if (extent.equals(h.access.extent()) && !h.category.keyOrdered() && mayRelay(h, node.target)
-                        && withinMargin(node, r, step(r, h))) {
+                        && fits(h, node.target) && withinMargin(node, r, step(r, h))) {
                     r.extra += step(r, h);
                     dequeue(h, r);
                     return h;
@@ -402,10 +413,7 @@
         return null;
     }
 
-    /**
-     * Whether the widest gap among the waiting volumes' extra tags stays within the margin after one more
-     * step.
-     */
+    /** Whether the widest gap of waiting volumes' extra tags stays within the margin after one step. */
     private boolean withinMargin(Node node, Reservation one, double step) {
         double least = one.extra + step, most = least, lightest = one.weight;
         for (Reservation r : node.reservations.values()) {
@@ -482,9 +490,8 @@
     }
 
     /**
-     * This initiator's even part of what a cold target bears. What a former life sent is held to be all of
-     * it. Work that succeeded was within what the target can do, which is one part in tipMultiple of the
-     * bound; the rest of the bound may then be out, shared as before.
+     * This initiator's even part of what a cold target bears; a former life may have sent all of it. Work
+     * that succeeded was within what it can do, one part in tipMultiple of the bound; the rest may be out.
      */
     private boolean coldBears(Held h, int t) {
         if (!isCold(t)) {
@@ -540,9 +547,7 @@
         return h.plan != null && h.plan.limitRate() > 0;
     }
 
-    /**
-     * This host's part of a volume's limit, slack included. A former life may have spent it: it starts empty.
-     */
+    /** This host's part of a volume's limit, with slack. A former life may have spent it: it starts empty. */
     private Store limit(Held h) {
         double hosts = Math.max(1, h.access.hosts());
         double depth = h.plan.limitDepth() + SLACK_USED * h.plan.limitSlack();
@@ -602,7 +607,10 @@
                 heard(t);
                 halve(t, h);
             }
-            case TIMED_OUT -> halve(t, h);
+            case TIMED_OUT -> {
+                tellLate(shortestAgreed);
+                halve(t, h);
+            }
             case NO_CONNECTION -> fallSilent(t);
             default -> { }
         }
@@ -613,6 +621,10 @@
         if (h.spent != null) {
             h.spent.borne = true;
         }
+        tellLate(took);
+        if (aloneLag == 0 || isTold(t) && targets.crowd[t] < aloneLag) {
+            aloneLag += (took - aloneLag) * (aloneLag == 0 ? 1 : SMOOTHING);
+        }
         targets.answeredSent[t] = Math.max(targets.answeredSent[t], h.sentAt);
         targets.lag[t] += (took - targets.lag[t]) * (targets.lag[t] == 0 ? 1 : SMOOTHING);
         if (took > LATE_PART * shortestAgreed) {
@@ -622,6 +634,10 @@
         }
     }
 
+    private void tellLate(double took) {
+        lateShare += SMOOTHING * ((took > shortestAgreed / 2 ? 1 : 0) - lateShare);
+    }
+
     /** Halves once a round trip: what was sent before the last halving tells of the time before it. */
     private void halve(int t, Held h) {
         if (h.sentAt >= targets.halvedAt[t]) {
@@ -635,9 +651,7 @@
         targets.nextTrial[t] = 0;
     }
 
-    /**
-     * A target that owes answers and has given none for far longer than usual gets single trials, ever later.
-     */
+    /** A target that owes answers and gave none for far longer than usual gets single trials, ever later. */
     private void watchForSilence(int t) {
         long quiet = Math.max(now - targets.heardAt[t], shortestAgreed / 2);
         double patience = Math.max(shortestAgreed / 2, PATIENCE * targets.lag[t]);
@@ -653,9 +667,8 @@
     }
 
     /**
-     * A relay that later ones overtook long ago is presumed lost. Guards against answers or relays that
-     * vanish one by one, whatever takes them: they would fill the window until clients give up. Could harm
-     * where a target serves in no order; so one-shot accesses are let wait, and only their room is used.
+     * A relay that later ones overtook long ago is presumed lost. Guards the window against whatever vanishes
+     * one by one. Could harm where a target serves in no order; so one-shot accesses are let wait.
      */
     private void watchForLoss(Held h) {
         int t = h.outAt;
@@ -672,9 +685,8 @@
     }
 
     /**
-     * Guards against a target that hangs, is down or cannot be reached, whatever the list says; any answer
-     * ends it. A long pause looks the same, and is met as well. Could harm where single connections fail by
-     * chance.
+     * Guards against a target that hangs, pauses long, is down or cannot be reached, whatever the list says;
+     * any answer ends it. Could harm where single connections fail by chance.
      */
     private void fallSilent(int t) {
         if (targets.nextTrial[t] == 0) {
@@ -685,10 +697,14 @@
 
     /** A probe may be answered beside the work, so its success only lets one access try. */
     private void probed(Event.Probed e) {
-        Integer t = indexOf.get(e.target());
-        if (t != null && e.outcome() == Outcome.SUCCEEDED) {
-            targets.mayTry[t] = true;
-        }
+        int t = indexOf.get(e.target());
+        boolean answered = e.outcome() == Outcome.SUCCEEDED;
+        targets.mayTry[t] |= answered;
+        targets.askedAt[t] = 0;
+        targets.toldAt[t] = now;
+        targets.bar[t] = chance.nextDouble();
+        targets.crowd[t] = answered ? Math.max(e.lag(), e.waiting() * aloneLag) : 0;
+        tellLate(targets.crowd[t]);
     }
 
     /** Further relays are made as often as recent ones succeeded. */
@@ -703,11 +719,9 @@
     private void giveUp(Held h) {
         Category c = h.category;
         boolean dropsRepeats = c.repeats() == Repeats.STAMPED && c.group() == Group.ALL;
-        if (h.ranAt < 0 || c.repeats() == Repeats.HARMLESS || dropsRepeats) {
-            todo.add(new Action.Reject(h.access.id(), advice(h.node.target)));
-        } else {
-            todo.add(new Action.BreakOff(h.access.id()));
-        }
+        boolean harmless = h.ranAt < 0 || c.repeats() == Repeats.HARMLESS || dropsRepeats;
+        String id = h.access.id();
+        todo.add(harmless ? new Action.Reject(id, advice(h.node.target)) : new Action.BreakOff(id));
         leave(h);
     }
 
@@ -718,11 +732,8 @@
         return may.advice() ? Math.max(1, Math.min(may.longestAdvice(), wait)) : 0;
     }
 
-    /** The access has its final answer; it is kept only while a relay of it has no outcome. */
+    /** The access has its final answer; it is kept only while a relay is out. */
     private void leave(Held h) {
-        if (h == null) {
-            return;
-        }
         h.answered = true;
         Reservation r = h.node.reservations.get(h.access.volume());
         if (r != null && r.queue.contains(h)) {
--- a/src/main/java/milletyoke/State.java
+++ b/src/main/java/milletyoke/State.java
@@ -37,6 +37,11 @@
         /** When a silent target is tried again, 0 for one that is not silent; and whether one access may try now. */
         long[] nextTrial = {};
         boolean[] mayTry = {};
+        /** When a probe left that has no answer yet, 0 for none; when the last one was answered, and what it told. */
+        long[] askedAt = {};
+        long[] toldAt = {};
+        double[] crowd = {};
+        double[] bar = {};
         final List<ArrayDeque<Spent>> coldSpent = new ArrayList<>();
 
         int add(String name) {
@@ -55,6 +60,10 @@
             halvedAt = Arrays.copyOf(halvedAt, count);
             nextTrial = Arrays.copyOf(nextTrial, count);
             mayTry = Arrays.copyOf(mayTry, count);
+            askedAt = Arrays.copyOf(askedAt, count);
+            toldAt = Arrays.copyOf(toldAt, count);
+            crowd = Arrays.copyOf(crowd, count);
+            bar = Arrays.copyOf(bar, count);
             coldSpent.add(new ArrayDeque<>());
             id[t] = name;
             return t;
@@ -63,9 +72,9 @@
 
     /** One access from taking to its final answer, and on until its last relay has an outcome. */
     static final class Held {
-        Event.Access access;
-        Category category;
-        Plan plan;
+        final Event.Access access;
+        final Category category;
+        final Plan plan;
         Node node;
         long firstTaken;
         long agreedAt;
@@ -82,6 +91,12 @@
         /** Its relay is out, and presumed lost. */
         boolean lost;
         Spent spent;
+
+        Held(Event.Access access, Category category, Plan plan) {
+            this.access = access;
+            this.category = category;
+            this.plan = plan;
+        }
     }
 
     /** The node that holds one shard, whichever target that is now; -1 for none. */
--- a/src/main/java/milletyoke/port/Event.java
+++ b/src/main/java/milletyoke/port/Event.java
@@ -24,8 +24,8 @@
     /** How one relay ended; {@code answered} is set once the client has its final answer. */
     record Ended(String id, int relay, boolean answered, Outcome outcome, long lag) implements Event {}
 
-    /** What a probe found. */
-    record Probed(String target, Outcome outcome) implements Event {}
+    /** What a probe found; {@code waiting} accesses were said to wait at the target, -1 where it does not tell. */
+    record Probed(String target, Outcome outcome, long lag, double waiting) implements Event {}
 
     /** Nothing more is owed for the access: its client left, or has the answer's first part already. */
     record Over(String id) implements Event {}
--- a/src/main/java/milletyoke/sim/Codec.java
+++ b/src/main/java/milletyoke/sim/Codec.java
@@ -19,14 +19,14 @@
     }
 
     /** Reads one event line; null for a message this project has no use for. */
-    static Event event(Fields f) {
+    static Event event(Fields f, int waitingAt) {
         return switch (f.word()) {
             case "ENLIST" -> new Event.Start(f.whole(1), provisioning(f.json(2)));
             case "ACCEPT" -> new Event.Access(f.text(1), (int) f.number(2, -1), f.text(3), f.text(4), f.whole(5),
                     f.text(6), f.text(7), (int) f.number(8, 1), f.number(9, 1));
             case "FINISHED" -> new Event.Ended(f.text(1), (int) f.whole(2), f.whole(3) != 0,
                     outcome(f.whole(4), f), f.whole(6));
-            case "PROBED" -> new Event.Probed(f.text(1), outcome(f.whole(2), f));
+            case "PROBED" -> new Event.Probed(f.text(1), outcome(f.whole(2), f), f.whole(3), f.part(4, waitingAt));
             case "FIRED" -> new Event.Alarm();
             case "STREAMING", "ABORTED" -> new Event.Over(f.text(1));
             default -> null;
@@ -76,6 +76,18 @@
         out.append('\n');
     }
 
+    /** Where in a load report the accesses waiting are told; -1 for nowhere. */
+    static int waitingAt(Fields enlist) {
+        int at = 0;
+        for (JsonNode field : enlist.json(2).path("report").path("fields")) {
+            if (field.asText().equals("backlog")) {
+                return at;
+            }
+            at++;
+        }
+        return -1;
+    }
+
     private static Outcome outcome(long code, Fields f) {
         return switch ((int) code) {
             case 0 -> Outcome.SUCCEEDED;
@@ -168,6 +180,16 @@
             }
         }
 
+        /** One of the values of a row, -1 where it is not told. */
+        double part(int i, int at) {
+            String[] row = text(i) == null ? new String[0] : text(i).split(",");
+            try {
+                return at < 0 || at >= row.length ? -1 : Double.parseDouble(row[at]);
+            } catch (NumberFormatException e) {
+                return -1;
+            }
+        }
+
         JsonNode json(int i) {
             try {
                 return JSON.readTree(i < parts.length ? parts[i] : "");
--- a/src/main/java/milletyoke/sim/SimHost.java
+++ b/src/main/java/milletyoke/sim/SimHost.java
@@ -16,6 +16,7 @@
     private final BufferedReader in;
     private final Writer out;
     private final Map<String, Decide> instances = new HashMap<>();
+    private final Map<String, Integer> waitingAt = new HashMap<>();
     private long line;
 
     public SimHost(BufferedReader in, Writer out) {
@@ -59,9 +60,10 @@
     }
 
     private void add(List<Event> events, Codec.Fields f, String instance) {
-        Event event = Codec.event(f);
+        Event event = Codec.event(f, waitingAt.getOrDefault(instance, -1));
         if (event instanceof Event.Start) {
             instances.put(instance, new Decide());
+            waitingAt.put(instance, Codec.waitingAt(f));
             events.clear();
         }
         if (event != null) {
--- a/src/test/java/milletyoke/ScenarioTest.java
+++ b/src/test/java/milletyoke/ScenarioTest.java
@@ -101,7 +101,7 @@
                     w.named.getOrDefault("cat", "read"), (int) w.figure("hosts", 1), w.figure("units", 1));
             case "end" -> new Event.Ended(w.word(2), Integer.parseInt(w.word(3)),
                     w.word(4).equals("ok") || w.words.contains("over"), ENDS.get(w.word(4)), w.ms("lag", 20));
-            case "probed" -> new Event.Probed(w.word(2), ENDS.get(w.word(3)));
+            case "probed" -> new Event.Probed(w.word(2), ENDS.get(w.word(3)), w.ms("lag", 1), w.figure("waiting", -1));
             case "gone" -> new Event.Over(w.word(2));
             default -> new Event.TargetList(Event.Scope.valueOf(w.word(1).toUpperCase()),
                     w.words.subList(2, w.words.size()).stream().map(ScenarioTest::target).toList());
