Cold targets follow the probed queue; a late answer at a window of one lets the target rest

Cold targets: with 15 to 230 initiators the even part of the bound is under one access. The part for borne work goes: one defence for one symptom. 2. Where no probe is permitted a full queue showed only in late answers.

--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -17,8 +17,7 @@
 public final class Decide {
     // The design's figures.
     private static final int BASE_BATCH = 4;
-    private static final double FIRST_WINDOW = 4;
-    private static final double WINDOW_CEILING = 16;
+    private static final double FIRST_WINDOW = 4, WINDOW_CEILING = 16;
     private static final double MARGIN_STEPS = 1.5;
     /** An answer is late past this part of the shortest agreed time: at a target no tag order holds. */
     private static final double LATE_PART = 1.0 / 6;
@@ -30,20 +29,19 @@
     private static final double SUSPECT = 0.05;
     /** What is said to wait at a target may take this part of that time, for accesses owed and for others. */
     private static final double JOIN_OWED = 0.75, JOIN_OTHERS = 0.25;
-    /** However few further relays succeed, this part is still tried, to see whether they do again. */
+    /** However few further relays succeed, this part is still tried. */
     private static final double LEAST_FURTHER = 0.1;
     /** A silent target is tried again ever later, up to this many of the shortest agreed time. */
     private static final long LONGEST_TRIAL = 4;
     /** Times between looks at what waits, and at what is only out (microseconds). */
-    private static final long LOOK_WAITING = 4_000;
-    private static final long LOOK_IDLE = 40_000;
+    private static final long LOOK_WAITING = 4_000, LOOK_IDLE = 40_000;
     /** A final answer leaves this long before the client's time is up. */
     private static final long ANSWER_AHEAD = 5_000;
     private static final long FIRST_ASK = 500_000;
     /** The rest of a limit's slack is for sums that another counts in another order. */
     private static final double SLACK_USED = 0.9;
-    /** What a cold target has borne may have been cheaper than its units tell: not all the rest is used. */
-    private static final double COLD_SPARE = 0.5;
+    /** What waits at a cold target may take this part of what the bound leaves beyond its capacity. */
+    private static final double COLD_QUEUE = 1.0 / 8;
     private static final Set<Outcome> MAY_STILL_RUN =
             EnumSet.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED);
 
@@ -52,7 +50,7 @@
     private Bounds bounds;
     private SplittableRandom chance;
     private long startedAt;
-    private long shortestAgreed = Long.MAX_VALUE;
+    private long shortestAgreed;
     private final Map<String, Category> categories = new HashMap<>();
     private final Map<String, Plan> plans = new HashMap<>();
 
@@ -60,14 +58,18 @@
     private long now;
     private List<Action> todo;
     private long wakeAt = Long.MAX_VALUE;
+    /**
+     * When a turn last came far later than was asked for. Guards against standing still for any cause: what
+     * came meanwhile tells no target's lag or silence. Could harm where all turns are late: nothing adapts.
+     */
+    private long resumedAt;
 
     // Targets, under a dense index that lasts this life.
     private final Map<String, Integer> indexOf = new HashMap<>();
     private final Targets targets = new Targets();
 
     // When to ask discovery again.
-    private long askAt = Long.MAX_VALUE;
-    private long askWait = FIRST_ASK;
+    private long askAt = Long.MAX_VALUE, askWait = FIRST_ASK;
 
     // Work.
     private final Map<Integer, Node> nodes = new LinkedHashMap<>();
@@ -76,15 +78,17 @@
     private final Map<String, Turns> turns = new HashMap<>();
     private final Map<String, Long> longestTtl = new HashMap<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>(), further = new ArrayDeque<>();
-    private double furtherSuccess = 1;
-    private double lateShare;
+    private double furtherSuccess = 1, lateShare;
     /** What an access takes at a target where no other waits. */
     private double aloneLag;
+    /** Probes have told of waiting, so they do not merely show that the target runs. */
+    private boolean probesTell;
     private double meanUnits;
 
     /** The one entry point: takes what happened, returns what is to be done. */
     public List<Action> decide(long time, List<Event> happened) {
         now = time;
+        resumedAt = now - wakeAt > LATE_PART * shortestAgreed ? now : resumedAt;
         wakeAt = now >= wakeAt ? Long.MAX_VALUE : wakeAt;
         todo = new ArrayList<>();
         happened.forEach(this::learn);
@@ -117,15 +121,12 @@
         bounds = given.bounds();
         chance = new SplittableRandom(e.seed());
         startedAt = now;
-        for (Category c : given.categories()) {
-            categories.put(c.name(), c);
-            shortestAgreed = Math.min(shortestAgreed, c.agreedTime());
-        }
+        given.categories().forEach(c -> categories.put(c.name(), c));
+        shortestAgreed = given.categories().stream().mapToLong(Category::agreedTime).min().orElse(0);
         given.plans().forEach(p -> plans.put(p.name(), p));
         askAt = given.listMustBeAsked() ? now : Long.MAX_VALUE;
     }
 
-    /** What is only out wants a look for silence now and then; what waits, a look at its agreed time. */
     private void arrangeWake() {
         boolean waiting = nodes.values().stream().anyMatch(n -> n.waiting > 0);
         long look = held.isEmpty() ? Long.MAX_VALUE : now + (waiting ? LOOK_WAITING : LOOK_IDLE);
@@ -178,13 +179,13 @@
         nodes.computeIfAbsent(target.shard(), s -> new Node());
     }
 
-    /** A target that is new or has started anew: what was known of its former life no longer holds. */
     private void forget(int t) {
         targets.window[t] = FIRST_WINDOW;
         targets.out[t] = 0;
         targets.life[t]++;
         targets.lag[t] = 0;
         targets.nextTrial[t] = 0;
+        targets.toldUntil[t] = 0;
     }
 
     private void findHolder(int shard, Node node) {
@@ -267,6 +268,7 @@
     private static void dequeue(Held h, Reservation r) {
         r.queue.remove(h);
         h.node.waiting--;
+        retag(r);
     }
 
     // ---- Serving a node ----
@@ -290,18 +292,17 @@
      * any load that others bring; could harm where probes are dear, or answered later than work.
      */
     private boolean mustAsk(int t) {
-        if (t < 0 || !given.allowances().probes() || lateShare < SUSPECT || targets.nextTrial[t] > 0) {
-            return false;
-        }
-        if (targets.askedAt[t] == 0 && !isTold(t)) {
+        boolean answers = given.allowances().probes() && t >= 0 && targets.nextTrial[t] == 0;
+        boolean suspect = answers && (lateShare >= SUSPECT || isCold(t));
+        if (suspect && targets.askedAt[t] == 0 && !isTold(t)) {
             targets.askedAt[t] = now;
             todo.add(new Action.Probe(targets.id[t]));
         }
-        return targets.askedAt[t] > 0;
+        return suspect && targets.askedAt[t] > 0;
     }
 
     private boolean isTold(int t) {
-        return t >= 0 && now - targets.toldAt[t] < shortestAgreed / 2;
+        return t >= 0 && now < targets.toldUntil[t];
     }
 
     private double expected(int t) {
@@ -323,13 +324,10 @@
         double expected = expected(node.target);
         List<Held> late = new ArrayList<>();
         for (Reservation r : node.reservations.values()) {
-            for (Held h : List.copyOf(r.queue)) {
-                if (now + expected > h.agreedAt) {
-                    dequeue(h, r);
-                    late.add(h);
-                }
+            for (Held h : r.queue.stream().filter(w -> now + expected > w.agreedAt).toList()) {
+                dequeue(h, r);
+                late.add(h);
             }
-            retag(r);
         }
         return late;
     }
@@ -341,10 +339,9 @@
         List<Held> base = new ArrayList<>();
         for (Reservation r = leastFinish(node); base.size() < most && r != null; r = leastFinish(node)) {
             Held h = sendable(node, r);
-            dequeue(h, r);
             node.virtualTime = r.start;
             r.start = r.finish;
-            retag(r);
+            dequeue(h, r);
             base.add(h);
         }
         room -= base.size();
@@ -394,7 +391,6 @@
         return owed(h).units >= h.access.units();
     }
 
-    /** Takes out of its queue one access of the same extent, if the margin lets it join. */
     private Held insert(Node node, Held beside, int room) {
         String extent = beside.access.extent();
         if (room <= 0 || extent == null || beside.category.keyOrdered()) {
@@ -428,10 +424,8 @@
 
     private int roomAt(Node node) {
         int t = node.target;
-        if (t < 0 || targets.nextTrial[t] > 0) {
-            return t >= 0 && targets.mayTry[t] ? 1 : 0;
-        }
-        return (int) targets.window[t] - targets.out[t];
+        int trial = t >= 0 && targets.mayTry[t] ? 1 : 0;
+        return t < 0 || targets.nextTrial[t] > 0 ? trial : (int) targets.window[t] - targets.out[t];
     }
 
     // ---- The rules: every send passes relay, which asks mayRelay ----
@@ -447,8 +441,8 @@
         }
         owed(h).units = Math.max(0, owed(h).units - h.access.units());
         if (isCold(t)) {
-            h.spent = new Spent(now, h.access.units());
-            targets.coldSpent.get(t).addLast(h.spent);
+            targets.coldSpent.get(t).addLast(new Spent(now, h.access.units()));
+            targets.toldUntil[t] = 0;
         }
         targets.heardAt[t] = targets.out[t] == 0 && targets.nextTrial[t] == 0 ? now : targets.heardAt[t];
         targets.mayTry[t] = false;
@@ -490,24 +484,23 @@
     }
 
     /**
-     * This initiator's even part of what a cold target bears; a former life may have sent all of it. Work
-     * that succeeded was within what it can do, one part in tipMultiple of the bound; the rest may be out.
+     * This initiator's even part of what a cold target bears; a former life may have sent all of it. It may
+     * have more if a probe just told how little waits: what all sent was then served, within its capacity.
      */
     private boolean coldBears(Held h, int t) {
         if (!isCold(t)) {
             return true;
         }
+        double queue = COLD_QUEUE * (bounds.tipMultiple() - 1) * bounds.fall();
+        if (probesTell && isTold(t) && targets.crowd[t] <= queue) {
+            return true;
+        }
         if (now < startedAt + bounds.fall() && targets.launched[t] < startedAt) {
             return false;
         }
-        double spent = h.access.units(), unborne = spent;
-        targets.coldSpent.get(t).removeIf(s -> s.at <= now - bounds.fall());
-        for (Spent s : targets.coldSpent.get(t)) {
-            spent += s.units;
-            unborne += s.borne ? 0 : s.units;
-        }
-        double left = COLD_SPARE * (1 - 1 / Math.max(1, bounds.tipMultiple()));
-        return spent <= coldPart(t) || unborne <= coldPart(t) * left;
+        targets.coldSpent.get(t).removeIf(s -> s.at() <= now - bounds.fall());
+        double spent = targets.coldSpent.get(t).stream().mapToDouble(Spent::units).sum();
+        return spent + h.access.units() <= coldPart(t);
     }
 
     /** The bound grows as the target warms, which is never slower than evenly; the window's start counts. */
@@ -598,19 +591,15 @@
         targets.out[t] -= !h.lost && h.outLife == targets.life[t] ? 1 : 0;
     }
 
-    /** What the outcome tells of the target: its round trip, its window and whether it still answers. */
     private void judge(int t, Held h, Event.Ended e) {
         switch (e.outcome()) {
             case SUCCEEDED -> succeeded(t, h, e.lag());
             case ERROR -> heard(t);
             case FULL -> {
                 heard(t);
-                halve(t, h);
-            }
-            case TIMED_OUT -> {
-                tellLate(shortestAgreed);
-                halve(t, h);
+                late(t, h, shortestAgreed);
             }
+            case TIMED_OUT -> late(t, h, shortestAgreed);
             case NO_CONNECTION -> fallSilent(t);
             default -> { }
         }
@@ -618,32 +607,46 @@
 
     private void succeeded(int t, Held h, long took) {
         heard(t);
-        if (h.spent != null) {
-            h.spent.borne = true;
+        targets.answeredSent[t] = Math.max(targets.answeredSent[t], h.sentAt);
+        if (now == resumedAt) {
+            return;
         }
-        tellLate(took);
         if (aloneLag == 0 || isTold(t) && targets.crowd[t] < aloneLag) {
             aloneLag += (took - aloneLag) * (aloneLag == 0 ? 1 : SMOOTHING);
         }
-        targets.answeredSent[t] = Math.max(targets.answeredSent[t], h.sentAt);
         targets.lag[t] += (took - targets.lag[t]) * (targets.lag[t] == 0 ? 1 : SMOOTHING);
         if (took > LATE_PART * shortestAgreed) {
-            halve(t, h);
+            late(t, h, took);
         } else {
+            targets.rest[t] /= 2;
+            lateShare -= SMOOTHING * lateShare;
             targets.window[t] = Math.min(WINDOW_CEILING, targets.window[t] + 1 / targets.window[t]);
         }
     }
 
-    private void tellLate(double took) {
-        lateShare += SMOOTHING * ((took > shortestAgreed / 2 ? 1 : 0) - lateShare);
+    /**
+     * Halves once a round trip: what was sent before the last halving tells of the time before it. At a
+     * window of one, far too late an answer, a refusal or a time-out tells of a queue that others fill: the
+     * target then rests, ever longer, for what does not fit. Could harm where answers are late by chance.
+     */
+    private void late(int t, Held h, long took) {
+        if (h.sentAt < targets.halvedAt[t]) {
+            return;
+        }
+        if (took > shortestAgreed / 2 && targets.window[t] < 2) {
+            long rest = Math.max(shortestAgreed / 2, 2 * targets.rest[t]);
+            targets.rest[t] = Math.min(LONGEST_TRIAL * shortestAgreed, rest);
+            told(t, took, targets.rest[t]);
+        }
+        targets.window[t] = Math.max(1, targets.window[t] / 2);
+        targets.halvedAt[t] = now;
     }
 
-    /** Halves once a round trip: what was sent before the last halving tells of the time before it. */
-    private void halve(int t, Held h) {
-        if (h.sentAt >= targets.halvedAt[t]) {
-            targets.window[t] = Math.max(1, targets.window[t] / 2);
-            targets.halvedAt[t] = now;
-        }
+    private void told(int t, double crowd, long holds) {
+        targets.crowd[t] = crowd;
+        targets.toldUntil[t] = now + holds;
+        targets.bar[t] = chance.nextDouble();
+        lateShare += SMOOTHING * ((crowd > shortestAgreed / 2 ? 1 : 0) - lateShare);
     }
 
     private void heard(int t) {
@@ -653,7 +656,7 @@
 
     /** A target that owes answers and gave none for far longer than usual gets single trials, ever later. */
     private void watchForSilence(int t) {
-        long quiet = Math.max(now - targets.heardAt[t], shortestAgreed / 2);
+        long quiet = Math.max(now - Math.max(resumedAt, targets.heardAt[t]), shortestAgreed / 2);
         double patience = Math.max(shortestAgreed / 2, PATIENCE * targets.lag[t]);
         if (targets.nextTrial[t] == 0 && targets.out[t] > 0 && quiet > patience) {
             fallSilent(t);
@@ -675,7 +678,8 @@
         if (t < 0 || h.lost || targets.answeredSent[t] <= h.sentAt) {
             return;
         }
-        if (now - h.sentAt > PATIENCE * targets.lag[t] * Math.max(1, h.access.units() / meanUnits)) {
+        double patience = PATIENCE * targets.lag[t] * Math.max(1, h.access.units() / meanUnits);
+        if (now - Math.max(resumedAt, h.sentAt) > patience) {
             giveRoom(h, t);
             h.lost = true;
             if (given.allowances().cancels() && h.category.repeats() != Repeats.ONE_SHOT) {
@@ -701,10 +705,9 @@
         boolean answered = e.outcome() == Outcome.SUCCEEDED;
         targets.mayTry[t] |= answered;
         targets.askedAt[t] = 0;
-        targets.toldAt[t] = now;
-        targets.bar[t] = chance.nextDouble();
-        targets.crowd[t] = answered ? Math.max(e.lag(), e.waiting() * aloneLag) : 0;
-        tellLate(targets.crowd[t]);
+        probesTell |= e.waiting() >= 0 || answered && aloneLag > 0 && e.lag() > aloneLag;
+        double unanswered = isCold(t) ? shortestAgreed : 0;
+        told(t, answered ? Math.max(e.lag(), e.waiting() * aloneLag) : unanswered, shortestAgreed / 2);
     }
 
     /** Further relays are made as often as recent ones succeeded. */
@@ -732,13 +735,11 @@
         return may.advice() ? Math.max(1, Math.min(may.longestAdvice(), wait)) : 0;
     }
 
-    /** The access has its final answer; it is kept only while a relay is out. */
     private void leave(Held h) {
         h.answered = true;
         Reservation r = h.node.reservations.get(h.access.volume());
         if (r != null && r.queue.contains(h)) {
             dequeue(h, r);
-            retag(r);
         }
         if (h.outAt < 0) {
             held.remove(h.access.id());
--- a/src/main/java/milletyoke/State.java
+++ b/src/main/java/milletyoke/State.java
@@ -37,11 +37,13 @@
         /** When a silent target is tried again, 0 for one that is not silent; and whether one access may try now. */
         long[] nextTrial = {};
         boolean[] mayTry = {};
-        /** When a probe left that has no answer yet, 0 for none; when the last one was answered, and what it told. */
+        /** When a probe left that has no answer yet, 0 for none. */
         long[] askedAt = {};
-        long[] toldAt = {};
+        /** The waiting that was told of, until when that holds, the draw made with it, and how long a rest is now. */
         double[] crowd = {};
+        long[] toldUntil = {};
         double[] bar = {};
+        long[] rest = {};
         final List<ArrayDeque<Spent>> coldSpent = new ArrayList<>();
 
         int add(String name) {
@@ -61,8 +63,9 @@
             nextTrial = Arrays.copyOf(nextTrial, count);
             mayTry = Arrays.copyOf(mayTry, count);
             askedAt = Arrays.copyOf(askedAt, count);
-            toldAt = Arrays.copyOf(toldAt, count);
             crowd = Arrays.copyOf(crowd, count);
+            toldUntil = Arrays.copyOf(toldUntil, count);
+            rest = Arrays.copyOf(rest, count);
             bar = Arrays.copyOf(bar, count);
             coldSpent.add(new ArrayDeque<>());
             id[t] = name;
@@ -90,7 +93,6 @@
         boolean answered;
         /** Its relay is out, and presumed lost. */
         boolean lost;
-        Spent spent;
 
         Held(Event.Access access, Category category, Plan plan) {
             this.access = access;
@@ -122,17 +124,8 @@
         long at;
     }
 
-    /** What a cold target was sent, and when; it is borne once it has succeeded. */
-    static final class Spent {
-        final long at;
-        final double units;
-        boolean borne;
-
-        Spent(long at, double units) {
-            this.at = at;
-            this.units = units;
-        }
-    }
+    /** What a cold target was sent, and when. */
+    record Spent(long at, double units) {}
 
     /** The accesses of one key in the order they were taken, and until when the key rests. */
     static final class Turns {
--- a/src/test/java/milletyoke/ScenarioTest.java
+++ b/src/test/java/milletyoke/ScenarioTest.java
@@ -63,9 +63,16 @@
                         w.figure("limit", 0), w.figure("depth", 0), w.figure("slack", 0)));
             } else {
                 if (!w.word(0).equals("+")) {
-                    play(at, batch);
-                    batch.clear();
-                    at = Long.parseLong(w.word(0)) * 1000;
+                    String[] span = w.word(0).split("\\.\\.");
+                    long last = Long.parseLong(span[span.length - 1]) * 1000;
+                    for (long next = Long.parseLong(span[0]) * 1000; at < last; next = Math.min(last, next + 50_000)) {
+                        play(at, batch);
+                        batch.clear();
+                        at = next;
+                        if (at < last) {
+                            batch.add(new Event.Alarm());
+                        }
+                    }
                 }
                 w.each().forEach(one -> batch.add(event(one)));
             }
