The queue of a crowd is met only among a crowd; silence is judged by the latest answer

Cause: a count of why each access is given up named silence first: with one relay out into a queue of others, half an agreed time without an answer looks like a target that hangs. Silence now takes four times what the latest answer took. What an access takes alone is learnt from quick answers, since slow ones had others before them. Tried without help: no rests, silence after one or two agreed times, shorter rests where probes are permitted, rests later.

--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -23,13 +23,12 @@
     private static final double LATE_PART = 1.0 / 6;
     // Smoothing, as TCP does it for its round trips: a figure settles in about eight answers.
     private static final double SMOOTHING = 1.0 / 8;
-    /** A target that owes answers is silent once it has given none for this many of its usual lags. */
+    /** A target that owes answers is silent once it has given none for this many of its lags. */
     private static final double PATIENCE = 4;
     /** From this part of answers on that took over half of the shortest agreed time, probes go first. */
     private static final double SUSPECT = 0.05;
     /** What is said to wait at a target may take this part of that time, for accesses owed and for others. */
     private static final double JOIN_OWED = 0.75, JOIN_OTHERS = 0.25;
-    /** However few further relays succeed, this part is still tried. */
     private static final double LEAST_FURTHER = 0.1;
     /** A silent target is tried again ever later, up to this many of the shortest agreed time. */
     private static final long LONGEST_TRIAL = 4;
@@ -51,10 +50,11 @@
     private SplittableRandom chance;
     private long startedAt;
     private long shortestAgreed;
+    /** So many initiators that windows of one each make a queue of twice the shortest agreed time. */
+    private boolean crowd;
     private final Map<String, Category> categories = new HashMap<>();
     private final Map<String, Plan> plans = new HashMap<>();
 
-    // The call in hand.
     private long now;
     private List<Action> todo;
     private long wakeAt = Long.MAX_VALUE;
@@ -71,7 +71,6 @@
     // When to ask discovery again.
     private long askAt = Long.MAX_VALUE, askWait = FIRST_ASK;
 
-    // Work.
     private final Map<Integer, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Held> held = new LinkedHashMap<>();
     private final Map<String, Store> limits = new HashMap<>(), reserves = new HashMap<>();
@@ -124,6 +123,7 @@
         given.categories().forEach(c -> categories.put(c.name(), c));
         shortestAgreed = given.categories().stream().mapToLong(Category::agreedTime).min().orElse(0);
         given.plans().forEach(p -> plans.put(p.name(), p));
+        crowd = given.initiators() * LATE_PART > 2;
         askAt = given.listMustBeAsked() ? now : Long.MAX_VALUE;
     }
 
@@ -287,9 +287,9 @@
     }
 
     /**
-     * Whether to wait for a probe, sent now if the last one is old. Where answers come late, one goes first:
-     * with many initiators a window of one each fills a queue that each hears of too seldom. Guards against
-     * any load that others bring; could harm where probes are dear, or answered later than work.
+     * Whether to wait for a probe, sent now if the last one is old. Where answers come late among a crowd,
+     * one goes first: each hears too seldom of the queue that windows of one fill. Guards against any load
+     * that others bring; could harm where probes are dear, or answered later than work.
      */
     private boolean mustAsk(int t) {
         boolean answers = given.allowances().probes() && t >= 0 && targets.nextTrial[t] == 0;
@@ -574,9 +574,8 @@
             h.ranAt = t;
             h.ranSince = h.sentAt;
         }
-        if (h.relays > 1) {
-            furtherSuccess += SMOOTHING * ((e.outcome() == Outcome.SUCCEEDED ? 1 : 0) - furtherSuccess);
-        }
+        double success = e.outcome() == Outcome.SUCCEEDED ? 1 : 0;
+        furtherSuccess += h.relays > 1 ? SMOOTHING * (success - furtherSuccess) : 0;
         if (e.answered() || h.answered) {
             leave(h);
         } else if (worthAnother(h, t)) {
@@ -612,8 +611,10 @@
             return;
         }
         if (aloneLag == 0 || isTold(t) && targets.crowd[t] < aloneLag) {
-            aloneLag += (took - aloneLag) * (aloneLag == 0 ? 1 : SMOOTHING);
+            double part = took < aloneLag ? SMOOTHING : SMOOTHING / 8; // slow ones had others before them
+            aloneLag += (took - aloneLag) * (aloneLag == 0 ? 1 : part);
         }
+        targets.took[t] = took;
         targets.lag[t] += (took - targets.lag[t]) * (targets.lag[t] == 0 ? 1 : SMOOTHING);
         if (took > LATE_PART * shortestAgreed) {
             late(t, h, took);
@@ -625,15 +626,16 @@
     }
 
     /**
-     * Halves once a round trip: what was sent before the last halving tells of the time before it. At a
-     * window of one, far too late an answer, a refusal or a time-out tells of a queue that others fill: the
-     * target then rests, ever longer, for what does not fit. Could harm where answers are late by chance.
+     * Halves once a round trip: what was sent before the last halving tells of the time before it. Among a
+     * crowd, a refusal, a time-out or far too late an answer while hardly anything of its own is out tells of
+     * a queue that others fill: the target then rests, ever longer, for what does not fit. Could harm where
+     * answers are late by chance.
      */
     private void late(int t, Held h, long took) {
         if (h.sentAt < targets.halvedAt[t]) {
             return;
         }
-        if (took > shortestAgreed / 2 && targets.window[t] < 2) {
+        if (crowd && took > shortestAgreed / 2 && targets.out[t] < 2) {
             long rest = Math.max(shortestAgreed / 2, 2 * targets.rest[t]);
             targets.rest[t] = Math.min(LONGEST_TRIAL * shortestAgreed, rest);
             told(t, took, targets.rest[t]);
@@ -654,10 +656,10 @@
         targets.nextTrial[t] = 0;
     }
 
-    /** A target that owes answers and gave none for far longer than usual gets single trials, ever later. */
+    /** A target that owes answers and gave none for far longer than of late gets trials, ever later. */
     private void watchForSilence(int t) {
         long quiet = Math.max(now - Math.max(resumedAt, targets.heardAt[t]), shortestAgreed / 2);
-        double patience = Math.max(shortestAgreed / 2, PATIENCE * targets.lag[t]);
+        double patience = Math.max(shortestAgreed / 2, PATIENCE * Math.max(targets.lag[t], targets.took[t]));
         if (targets.nextTrial[t] == 0 && targets.out[t] > 0 && quiet > patience) {
             fallSilent(t);
         } else if (targets.nextTrial[t] > 0 && now >= targets.nextTrial[t]) {
@@ -675,11 +677,9 @@
      */
     private void watchForLoss(Held h) {
         int t = h.outAt;
-        if (t < 0 || h.lost || targets.answeredSent[t] <= h.sentAt) {
-            return;
-        }
-        double patience = PATIENCE * targets.lag[t] * Math.max(1, h.access.units() / meanUnits);
-        if (now - Math.max(resumedAt, h.sentAt) > patience) {
+        boolean overtaken = t >= 0 && !h.lost && targets.answeredSent[t] > h.sentAt;
+        double patience = t < 0 ? 0 : PATIENCE * targets.lag[t] * Math.max(1, h.access.units() / meanUnits);
+        if (overtaken && now - Math.max(resumedAt, h.sentAt) > patience) {
             giveRoom(h, t);
             h.lost = true;
             if (given.allowances().cancels() && h.category.repeats() != Repeats.ONE_SHOT) {
--- a/src/main/java/milletyoke/State.java
+++ b/src/main/java/milletyoke/State.java
@@ -30,6 +30,8 @@
         double[] window = {};
         /** The usual lag of an answer. */
         double[] lag = {};
+        /** What the latest answer took. */
+        long[] took = {};
         long[] heardAt = {};
         /** When the latest answered relay was sent, and when the window was last halved. */
         long[] answeredSent = {};
@@ -57,6 +59,7 @@
             life = Arrays.copyOf(life, count);
             window = Arrays.copyOf(window, count);
             lag = Arrays.copyOf(lag, count);
+            took = Arrays.copyOf(took, count);
             heardAt = Arrays.copyOf(heardAt, count);
             answeredSent = Arrays.copyOf(answeredSent, count);
             halvedAt = Arrays.copyOf(halvedAt, count);
