--- a/src/test/java/milletyoke/ScenarioTest.java
+++ b/src/test/java/milletyoke/ScenarioTest.java
@@ -45,7 +45,8 @@
     void plays(String name, String text) {
         List<Event> batch = new ArrayList<>();
         long at = 0;
-        for (String line : text.lines().map(l -> l.replaceAll("#.*", "").trim()).filter(l -> !l.isEmpty()).toList()) {
+        String bare = text.replaceAll("#.*", "").replace("->", "\n->");
+        for (String line : bare.lines().map(String::trim).filter(l -> !l.isEmpty()).toList()) {
             Words w = new Words(line);
             if (line.startsWith("->")) {
                 String expected = line.substring(2).trim();
@@ -65,16 +66,17 @@
                 if (!w.word(0).equals("+")) {
                     String[] span = w.word(0).split("\\.\\.");
                     long last = Long.parseLong(span[span.length - 1]) * 1000;
-                    for (long next = Long.parseLong(span[0]) * 1000; at < last; next = Math.min(last, next + 50_000)) {
+                    for (long next = Long.parseLong(span[0]) * 1000; next < last; next += 50_000) {
                         play(at, batch);
                         batch.clear();
                         at = next;
-                        if (at < last) {
-                            batch.add(new Event.Alarm());
-                        }
+                        w.each().forEach(one -> batch.addAll(events(one)));
                     }
+                    play(at, batch);
+                    batch.clear();
+                    at = last;
                 }
-                w.each().forEach(one -> batch.add(event(one)));
+                w.each().forEach(one -> batch.addAll(events(one)));
             }
         }
         assertTrue(batch.isEmpty(), "the last batch has no expectation");
@@ -99,6 +101,17 @@
         return action instanceof Action.Probe a ? "probe " + a.target() : "follow";
     }
 
+    /** A start may name the targets that were last known. */
+    private List<Event> events(Words w) {
+        boolean known = w.word(1).equals("start") && w.words.size() > 2;
+        return known ? List.of(event(w), list("restored", w)) : List.of(event(w));
+    }
+
+    private static Event list(String scope, Words w) {
+        return new Event.TargetList(Event.Scope.valueOf(scope.toUpperCase()),
+                w.words.subList(2, w.words.size()).stream().map(ScenarioTest::target).toList());
+    }
+
     private Event event(Words w) {
         return switch (w.word(1)) {
             case "start" -> new Event.Start(7, provisioning());
@@ -110,8 +123,7 @@
                     w.word(4).equals("ok") || w.words.contains("over"), ENDS.get(w.word(4)), w.ms("lag", 20));
             case "probed" -> new Event.Probed(w.word(2), ENDS.get(w.word(3)), w.ms("lag", 1), w.figure("waiting", -1));
             case "gone" -> new Event.Over(w.word(2));
-            default -> new Event.TargetList(Event.Scope.valueOf(w.word(1).toUpperCase()),
-                    w.words.subList(2, w.words.size()).stream().map(ScenarioTest::target).toList());
+            default -> list(w.word(1), w);
         };
     }
 
