What is late yields where others need the room: among a crowd, and on a limit

Late accesses no longer draw on a limit; among a crowd what is past its agreed time is not relayed at all.

--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -68,7 +68,6 @@
     private final Map<String, Integer> indexOf = new HashMap<>();
     private final Targets targets = new Targets();
 
-    // When to ask discovery again.
     private long askAt = Long.MAX_VALUE, askWait = FIRST_ASK;
 
     private final Map<Integer, Node> nodes = new LinkedHashMap<>();
@@ -280,7 +279,9 @@
             continue;
         }
         for (Held h : late) {
-            if (asking || roomAt(node) <= 0 || !fits(h, node.target) || !relay(h, node.target)) {
+            boolean room = !asking && roomAt(node) > 0 && fits(h, node.target);
+            boolean spares = (!crowd || now <= h.agreedAt) && (h.relays > 0 || !hasLimit(h));
+            if (!room || !spares || !relay(h, node.target)) {
                 giveUp(h);
             }
         }
@@ -316,9 +317,9 @@
     }
 
     /**
-     * What can no longer be answered in its agreed time takes the room that is left, or gets its answer at
-     * once. Guards against a backlog of any cause (surge, pause, silence, no target) that would make all that
-     * comes after it late too. Could harm where the lag is thought longer than it is.
+     * What can no longer be answered in its agreed time takes the room that is left, unless others need it
+     * (a crowd, a limit), or gets its answer at once. Guards against a backlog of any cause that would make
+     * all that comes after it late too. Could harm where the lag is thought longer than it is.
      */
     private List<Held> takeLate(Node node) {
         double expected = expected(node.target);
@@ -600,7 +601,6 @@
             }
             case TIMED_OUT -> late(t, h, shortestAgreed);
             case NO_CONNECTION -> fallSilent(t);
-            default -> { }
         }
     }
 
