--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -30,7 +30,7 @@
     /** What is said to wait at a target may take this part of that time, for accesses owed and for others. */
     private static final double JOIN_OWED = 0.75, JOIN_OTHERS = 0.25;
     private static final double LEAST_FURTHER = 0.1;
-    /** A silent target is tried again ever later, up to this many of the shortest agreed time. */
+    /** Trials and rests grow up to this many of the shortest agreed time; no lag outlives it unheard. */
     private static final long LONGEST_TRIAL = 4;
     /** Times between looks at what waits, and at what is only out (microseconds). */
     private static final long LOOK_WAITING = 4_000, LOOK_IDLE = 40_000;
@@ -44,7 +44,6 @@
     private static final Set<Outcome> MAY_STILL_RUN =
             EnumSet.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED);
 
-    // What is read at start.
     private Provisioning given;
     private Bounds bounds;
     private SplittableRandom chance;
@@ -64,7 +63,6 @@
      */
     private long resumedAt;
 
-    // Targets, under a dense index that lasts this life.
     private final Map<String, Integer> indexOf = new HashMap<>();
     private final Targets targets = new Targets();
 
@@ -280,7 +278,7 @@
         }
         for (Held h : late) {
             boolean room = !asking && roomAt(node) > 0 && fits(h, node.target);
-            boolean spares = (!crowd || now <= h.agreedAt) && (h.relays > 0 || !hasLimit(h));
+            boolean spares = now <= h.agreedAt || !crowd && (h.relays > 0 || !hasLimit(h));
             if (!room || !spares || !relay(h, node.target)) {
                 giveUp(h);
             }
@@ -307,7 +305,9 @@
     }
 
     private double expected(int t) {
-        return t < 0 || targets.askedAt[t] > 0 ? 0 : isTold(t) ? targets.crowd[t] + aloneLag : targets.lag[t];
+        boolean old = t >= 0 && now - targets.heardAt[t] > LONGEST_TRIAL * shortestAgreed;
+        double usual = t < 0 || targets.askedAt[t] > 0 ? 0 : old ? aloneLag : targets.lag[t];
+        return isTold(t) ? targets.crowd[t] + aloneLag : usual;
     }
 
     /** Whether an access may join what is said to wait at the target; the draw keeps hosts out of step. */
