--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -149,10 +149,10 @@
         nodes.forEach(this::findHolder);
     }
 
-    /** A failure does not say whether the subscription stands, so it is asked for again, ever later. */
+    /** A failure does not say whether the subscription stands, so it is asked again, out of step, ever later. */
     private void askAgain() {
         if (given.listMustBeAsked() && askAt == Long.MAX_VALUE) {
-            askAt = now + askWait;
+            askAt = now + (long) (askWait * (0.5 + chance.nextDouble()));
             askWait = Math.max(FIRST_ASK, Math.min(2 * askWait, bounds.mustAskIn() / 2));
         }
     }
