--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -149,7 +149,7 @@
         nodes.forEach(this::findHolder);
     }
 
-    /** A failure does not tell whether the subscription stands: it is asked again, out of step, ever later. */
+    /** A failure does not tell if the subscription stands: it is asked again, out of step, ever later. */
     private void askAgain() {
         if (given.listMustBeAsked() && askAt == Long.MAX_VALUE) {
             askAt = now + (long) (askWait * (0.5 + chance.nextDouble()));
