Read over: no name shadowed, no patience worked out for relays not overtaken

The name crowd stood for the waiting at a target and for many initiators; the first is called waits where it is handed over. A loss bound was worked out for every access held, now only for overtaken ones. Why little time left means no repeat is said at the code again.

--- a/src/main/java/milletyoke/Decide.java
+++ b/src/main/java/milletyoke/Decide.java
@@ -127,10 +127,9 @@
     private void arrangeWake() {
         boolean waiting = nodes.values().stream().anyMatch(n -> n.waiting > 0);
         long look = held.isEmpty() ? Long.MAX_VALUE : now + (waiting ? LOOK_WAITING : LOOK_IDLE);
-        long due = Math.min(askAt, look);
-        if (due < wakeAt) {
-            wakeAt = due;
-            todo.add(new Action.Wake(Math.max(1, due - now)));
+        if (Math.min(askAt, look) < wakeAt) {
+            wakeAt = Math.min(askAt, look);
+            todo.add(new Action.Wake(Math.max(1, wakeAt - now)));
         }
     }
 
@@ -202,7 +201,8 @@
         Held h = new Held(e, category, plans.get(e.plan()));
         h.abandonAt = now + e.ttl();
         long longest = longestTtl.merge(category.name(), e.ttl(), Math::max);
-        h.firstTaken = e.ttl() < category.agreedTime() ? now : now - (longest - e.ttl());
+        boolean impatient = e.ttl() < category.agreedTime(); // a repeat that late would hardly be in time
+        h.firstTaken = impatient ? now : now - (longest - e.ttl());
         h.agreedAt = Math.min(h.firstTaken + category.agreedTime(), h.abandonAt - ANSWER_AHEAD);
         held.put(e.id(), h);
         inSpan(taken).addLast(now);
@@ -644,11 +644,11 @@
         targets.halvedAt[t] = now;
     }
 
-    private void told(int t, double crowd, long holds) {
-        targets.crowd[t] = crowd;
+    private void told(int t, double waits, long holds) {
+        targets.crowd[t] = waits;
         targets.toldUntil[t] = now + holds;
         targets.bar[t] = chance.nextDouble();
-        lateShare += SMOOTHING * ((crowd > shortestAgreed / 2 ? 1 : 0) - lateShare);
+        lateShare += SMOOTHING * ((waits > shortestAgreed / 2 ? 1 : 0) - lateShare);
     }
 
     private void heard(int t) {
@@ -678,8 +678,8 @@
     private void watchForLoss(Held h) {
         int t = h.outAt;
         boolean overtaken = t >= 0 && !h.lost && targets.answeredSent[t] > h.sentAt;
-        double patience = t < 0 ? 0 : PATIENCE * targets.lag[t] * Math.max(1, h.access.units() / meanUnits);
-        if (overtaken && now - Math.max(resumedAt, h.sentAt) > patience) {
+        double size = overtaken ? Math.max(1, h.access.units() / meanUnits) : 0;
+        if (overtaken && now - Math.max(resumedAt, h.sentAt) > PATIENCE * targets.lag[t] * size) {
             giveRoom(h, t);
             h.lost = true;
             if (given.allowances().cancels() && h.category.repeats() != Repeats.ONE_SHOT) {
@@ -720,9 +720,9 @@
     // ---- Final answers ----
 
     private void giveUp(Held h) {
-        Category c = h.category;
-        boolean dropsRepeats = c.repeats() == Repeats.STAMPED && c.group() == Group.ALL;
-        boolean harmless = h.ranAt < 0 || c.repeats() == Repeats.HARMLESS || dropsRepeats;
+        Repeats kind = h.category.repeats();
+        boolean dropsRepeats = kind == Repeats.STAMPED && h.category.group() == Group.ALL;
+        boolean harmless = h.ranAt < 0 || kind == Repeats.HARMLESS || dropsRepeats;
         String id = h.access.id();
         todo.add(harmless ? new Action.Reject(id, advice(h.node.target)) : new Action.BreakOff(id));
         leave(h);
