--- a/src/main/java/milletyoke/cli/Main.java
+++ b/simhost/src/main/java/milletyoke/sim/Main.java
@@ -1,4 +1,4 @@
-package milletyoke.cli;
+package milletyoke.sim;
 
 import java.io.BufferedOutputStream;
 import java.io.BufferedReader;
@@ -6,17 +6,15 @@
 import java.io.InputStreamReader;
 import java.io.OutputStreamWriter;
 import java.nio.charset.StandardCharsets;
-import milletyoke.sim.MalformedFrame;
-import milletyoke.sim.SimHost;
 
-/** The command line. */
+/** Starts the adapter for the bench: the wire on standard input and output. */
 public final class Main {
     private Main() {
     }
 
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar milletyoke.jar simhost");
+            System.err.println("usage: java -jar milletyoke-simhost.jar simhost");
             System.exit(2);
         }
         var in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16);
--- /dev/null
+++ b/wire/src/main/java/milletyoke/wire/Peer.java
@@ -0,0 +1,213 @@
+package milletyoke.wire;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import milletyoke.wire.proto.Bye;
+import milletyoke.wire.proto.Direction;
+import milletyoke.wire.proto.Frame;
+import milletyoke.wire.proto.Hello;
+import milletyoke.wire.proto.Role;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/** The other end of one connection. Any thread may send; the order of sends by one thread is kept. */
+public final class Peer {
+    /** The versions of the protocol that this build speaks. */
+    static final int LOWEST = 1, HIGHEST = 1;
+    private static final AtomicInteger NEXT = new AtomicInteger();
+
+    private final int id = NEXT.incrementAndGet();
+    private final Connection<SocketAddress> connection;
+    private final PeerHandler handler;
+    private final Bounds bounds;
+    private final Tap tap;
+    private final AtomicLong waitingBytes = new AtomicLong();
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private volatile String name = "";
+    private volatile Role role = Role.ROLE_UNKNOWN;
+    private volatile boolean greeted;
+    private volatile long lastUse;
+    private volatile long partialSince;
+    private volatile Object attachment;
+
+    @SuppressWarnings("unchecked") // a TCP connection's addresses are socket addresses
+    Peer(Connection<?> connection, PeerHandler handler, Bounds bounds, Tap tap) {
+        this.connection = (Connection<SocketAddress>) connection;
+        this.handler = handler;
+        this.bounds = bounds;
+        this.tap = tap;
+        lastUse = Wire.micros();
+        partialSince = lastUse; // a hello is owed
+    }
+
+    /** Unique in this process. */
+    public int id() {
+        return id;
+    }
+
+    /** What the peer calls itself, empty before its hello. */
+    public String name() {
+        return name;
+    }
+
+    public Role role() {
+        return role;
+    }
+
+    public boolean isOpen() {
+        return !closed.get() && connection.isOpen();
+    }
+
+    public Object attachment() {
+        return attachment;
+    }
+
+    public void attach(Object value) {
+        attachment = value;
+    }
+
+    /** Bytes handed over that the peer's side has not taken yet. */
+    public long waitingBytes() {
+        return waitingBytes.get();
+    }
+
+    /**
+     * Hands a frame over without waiting. False where the connection is known to be closed, and then nothing of the
+     * frame was sent; true promises nothing.
+     */
+    public boolean send(Frame frame) {
+        if (!isOpen()) {
+            return false;
+        }
+        int size = frame.getSerializedSize();
+        if (size > bounds.frameBytes()) {
+            throw new IllegalArgumentException("a frame of " + size + " bytes, " + bounds.frameBytes()
+                    + " are the most on this connection");
+        }
+        if (waitingBytes.addAndGet(size) > bounds.waitingBytes()) {
+            waitingBytes.addAndGet(-size);
+            // Guards the memory of this process against a peer that asks and does not read. Could harm a peer that
+            // stands still for long with much on its way to it; it may connect again.
+            close("reads too slowly: " + bounds.waitingBytes() + " bytes wait for it");
+            return false;
+        }
+        lastUse = Wire.micros();
+        tap.saw(this, Direction.SENT, frame);
+        connection.write(frame, new EmptyCompletionHandler<WriteResult<Frame, SocketAddress>>() {
+            @Override
+            public void completed(WriteResult<Frame, SocketAddress> result) {
+                waitingBytes.addAndGet(-size);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                waitingBytes.addAndGet(-size);
+                close("writing failed: " + cause.getMessage());
+            }
+        });
+        return true;
+    }
+
+    /** Tells the peer why and closes; what waits to be sent may be lost. */
+    public void bye(String why) {
+        send(Frame.newBuilder().setBye(Bye.newBuilder().setWhy(why)).build());
+        close(why);
+    }
+
+    /** Closes at once; the handler is told, once. */
+    public void close(String why) {
+        if (closed.compareAndSet(false, true)) {
+            connection.closeSilently();
+            tap.saw(this, Direction.CLOSED, null);
+            handler.closed(this, why);
+        }
+    }
+
+    /** Closes so that the other end sees a reset, as after a kill of this process; the handler is not told. */
+    public void reset() {
+        if (closed.compareAndSet(false, true)) {
+            try {
+                ((SocketChannel) ((NIOConnection) connection).getChannel()).setOption(StandardSocketOptions.SO_LINGER, 0);
+            } catch (IOException | RuntimeException alreadyGone) {
+                // closed below all the same
+            }
+            connection.terminateSilently();
+            tap.saw(this, Direction.CLOSED, null);
+        }
+    }
+
+    void greet(Role own, String ownName) {
+        send(Frame.newBuilder().setHello(Hello.newBuilder().setLowestVersion(LOWEST).setHighestVersion(HIGHEST)
+                .setRole(own).setName(ownName)).build());
+    }
+
+    void got(Frame frame) {
+        lastUse = Wire.micros();
+        partialSince = 0;
+        if (closed.get()) {
+            return;
+        }
+        tap.saw(this, Direction.GOT, frame);
+        try {
+            if (!greeted) {
+                welcome(frame);
+                handler.ready(this);
+            } else if (frame.getBodyCase() == Frame.BodyCase.BYE) {
+                close("the peer left: " + frame.getBye().getWhy());
+            } else if (frame.getBodyCase() == Frame.BodyCase.BODY_NOT_SET) {
+                throw new BadFrame("a frame with no body this version knows");
+            } else {
+                handler.got(this, frame);
+            }
+        } catch (BadFrame bad) {
+            bye(bad.getMessage());
+        }
+    }
+
+    private void welcome(Frame frame) throws BadFrame {
+        if (frame.getBodyCase() != Frame.BodyCase.HELLO) {
+            throw new BadFrame("the first frame must be a hello, not " + frame.getBodyCase());
+        }
+        Hello hello = frame.getHello();
+        if (hello.getHighestVersion() < LOWEST || hello.getLowestVersion() > HIGHEST) {
+            throw new BadFrame("versions " + hello.getLowestVersion() + " to " + hello.getHighestVersion()
+                    + " are offered, " + LOWEST + " to " + HIGHEST + " are spoken here");
+        }
+        if (hello.getName().length() > 200) {
+            throw new BadFrame("a name of over 200 characters");
+        }
+        name = hello.getName();
+        role = hello.getRole();
+        greeted = true;
+    }
+
+    void partial() {
+        lastUse = Wire.micros();
+        partialSince = partialSince == 0 ? lastUse : partialSince;
+    }
+
+    int frameBytes() {
+        return bounds.frameBytes();
+    }
+
+    /** Closes what has been idle, or half received, for too long. */
+    void look(long now) {
+        if (partialSince > 0 && now - partialSince > bounds.partialMicros()) {
+            bye((greeted ? "half a frame" : "no hello") + " for " + bounds.partialMicros() / 1000 + " ms");
+        } else if (bounds.idleMicros() > 0 && now - lastUse > bounds.idleMicros()) {
+            bye("idle for " + bounds.idleMicros() / 1000 + " ms");
+        }
+    }
+
+    @Override
+    public String toString() {
+        return (name.isEmpty() ? "peer" : name) + "#" + id;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/milletyoke/wire/PeerFilter.java
@@ -0,0 +1,77 @@
+package milletyoke.wire;
+
+import java.io.IOException;
+import milletyoke.wire.proto.Direction;
+import milletyoke.wire.proto.Frame;
+import milletyoke.wire.proto.Role;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/** The last filter: gives each connection its {@link Peer} and hands frames to it. */
+final class PeerFilter extends BaseFilter {
+    private static final Attribute<Peer> PEER =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("milletyoke.peer");
+
+    private final Wire wire;
+    private final PeerHandler handler;
+    private final Bounds bounds;
+    private final Tap tap;
+    private final Role role;
+    private final String name;
+
+    PeerFilter(Wire wire, Role role, String name, PeerHandler handler, Bounds bounds, Tap tap) {
+        this.wire = wire;
+        this.role = role;
+        this.name = name;
+        this.handler = handler;
+        this.bounds = bounds;
+        this.tap = tap;
+    }
+
+    static Peer peerOf(Connection<?> connection) {
+        return PEER.get(connection);
+    }
+
+    @Override
+    public NextAction handleAccept(FilterChainContext ctx) {
+        opened(ctx.getConnection());
+        return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleConnect(FilterChainContext ctx) {
+        opened(ctx.getConnection());
+        return ctx.getInvokeAction();
+    }
+
+    private void opened(Connection<?> connection) {
+        Peer peer = new Peer(connection, handler, bounds, tap);
+        PEER.set(connection, peer);
+        wire.add(peer);
+        tap.saw(peer, Direction.OPENED, null);
+        connection.addCloseListener((closeable, type) -> {
+            wire.remove(peer);
+            peer.close("the connection closed (" + String.valueOf(type).toLowerCase() + ")");
+        });
+        peer.greet(role, name);
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) throws IOException {
+        Frame frame = ctx.getMessage();
+        peerOf(ctx.getConnection()).got(frame);
+        return ctx.getStopAction();
+    }
+
+    @Override
+    public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
+        Peer peer = peerOf(ctx.getConnection());
+        if (peer != null) {
+            peer.close("reading failed: " + error);
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/milletyoke/wire/Wire.java
@@ -0,0 +1,179 @@
+package milletyoke.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import milletyoke.wire.proto.Role;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/** One participant's sockets: its listeners, its connections and the threads that serve them. */
+public final class Wire implements AutoCloseable {
+    private final TCPNIOTransport transport;
+    private final String name;
+    private final Tap tap;
+    private final Set<Peer> peers = ConcurrentHashMap.newKeySet();
+    private final ScheduledExecutorService looks;
+
+    /**
+     * @param name what this participant calls itself in its hellos
+     * @param threads threads that serve its sockets
+     */
+    public Wire(String name, int threads, Tap tap) throws IOException {
+        this.name = name;
+        this.tap = tap;
+        TCPNIOTransportBuilder builder = TCPNIOTransportBuilder.newInstance()
+                .setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName(name + "-io")
+                        .setCorePoolSize(threads).setMaxPoolSize(threads).setDaemon(true))
+                .setTcpNoDelay(true).setReuseAddress(true).setServerConnectionBackLog(1024);
+        builder.setSelectorRunnersCount(threads);
+        transport = builder.build();
+        transport.start();
+        looks = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, name + "-looks");
+            thread.setDaemon(true);
+            return thread;
+        });
+        looks.scheduleWithFixedDelay(() -> peers.forEach(p -> p.look(micros())), 250, 250, TimeUnit.MILLISECONDS);
+    }
+
+    /** The monotonic clock that all times of the product are told on (microseconds). */
+    public static long micros() {
+        return System.nanoTime() / 1000;
+    }
+
+    /**
+     * Listens at an address; port 0 takes a free one.
+     *
+     * @throws IOException where the address cannot be had, with a message that names it
+     */
+    public Listener listen(String host, int port, Role role, PeerHandler handler, Bounds bounds) throws IOException {
+        try {
+            TCPNIOServerConnection server = (TCPNIOServerConnection) binder(role, handler, bounds).bind(
+                    new InetSocketAddress(host, port));
+            return new Listener(this, server);
+        } catch (IOException failed) {
+            throw new IOException("cannot listen at " + host + ":" + port + ": " + failed.getMessage(), failed);
+        }
+    }
+
+    private org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler binder(Role role, PeerHandler handler,
+            Bounds bounds) {
+        return org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler.builder(transport)
+                .processor(chain(role, handler, bounds)).build();
+    }
+
+    /** Connects without waiting; the handler's ready tells of success, {@code failed} of the reason why not. */
+    public Attempt connect(String host, int port, Role role, PeerHandler handler, Bounds bounds,
+            Consumer<String> failed) {
+        var connector = TCPNIOConnectorHandler.builder(transport).processor(chain(role, handler, bounds)).build();
+        Attempt attempt = new Attempt();
+        connector.connect(new InetSocketAddress(host, port), new EmptyCompletionHandler<Connection>() {
+            @Override
+            public void completed(Connection made) {
+                attempt.made(made);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                failed.accept(String.valueOf(cause.getMessage()));
+            }
+
+            @Override
+            public void cancelled() {
+                failed.accept("given up");
+            }
+        });
+        return attempt;
+    }
+
+    private FilterChain chain(Role role, PeerHandler handler, Bounds bounds) {
+        return FilterChainBuilder.stateless().add(new TransportFilter()).add(new FrameFilter())
+                .add(new PeerFilter(this, role, name, handler, bounds, tap)).build();
+    }
+
+    void add(Peer peer) {
+        peers.add(peer);
+    }
+
+    void remove(Peer peer) {
+        peers.remove(peer);
+    }
+
+    void unbind(TCPNIOServerConnection server) {
+        transport.unbind(server);
+    }
+
+    /** Drops every connection as a kill would: resets, nothing told to any handler here. */
+    public void abort() {
+        looks.shutdownNow();
+        transport.unbindAll();
+        peers.forEach(Peer::reset);
+        shutdown();
+    }
+
+    @Override
+    public void close() {
+        looks.shutdownNow();
+        transport.unbindAll();
+        peers.forEach(p -> p.bye("shutting down"));
+        shutdown();
+    }
+
+    private void shutdown() {
+        try {
+            transport.shutdownNow();
+        } catch (IOException | RuntimeException late) {
+            // its sockets are closed; there is nothing left to release
+        }
+    }
+
+    /** A connection in the making, which can be given up. */
+    public static final class Attempt {
+        private Connection<?> made;
+        private boolean givenUp;
+
+        private synchronized void made(Connection<?> connection) {
+            made = connection;
+            if (givenUp) {
+                connection.closeSilently();
+            }
+        }
+
+        public synchronized void giveUp() {
+            givenUp = true;
+            if (made != null) {
+                made.closeSilently();
+            }
+        }
+    }
+
+    /** A bound address. */
+    public record Listener(Wire wire, TCPNIOServerConnection server) {
+        public int port() {
+            SocketAddress local = server.getLocalAddress();
+            return ((InetSocketAddress) local).getPort();
+        }
+
+        /** Takes no further connections; those there are go on. */
+        public void stop() {
+            wire.unbind(server);
+        }
+    }
+}
