--- /dev/null
+++ b/cli/src/main/java/milletyoke/cli/Demo.java
@@ -0,0 +1,48 @@
+package milletyoke.cli;
+
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import milletyoke.rehearsal.Stage;
+import milletyoke.rehearsal.audit.Audit;
+import milletyoke.rehearsal.script.BadDay;
+import milletyoke.rehearsal.script.Script;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "demo", mixinStandardHelpOptions = true,
+        description = "Three initiators, eight targets and a small load on loopback, in this process, for 12 s.")
+final class Demo implements Callable<Integer> {
+    @Option(names = "--show-script", description = "Print the script that is played, and play nothing.")
+    private boolean show;
+
+    @Override
+    public Integer call() throws Exception {
+        String text;
+        try (InputStream in = Demo.class.getResourceAsStream("/demo.day")) {
+            text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+        if (show) {
+            System.out.print(text);
+            return 0;
+        }
+        BadDay day = Script.read("demo.day", "demo", text);
+        Path recording = Files.createTempFile("milletyoke-", ".recording");
+        try {
+            Stage.Played played;
+            try (Stage stage = new Stage(day, recording, false)) {
+                System.out.printf("%d initiators, %d targets, %.0f accesses a second for %d s; a target hangs at 4 s%n",
+                        day.initiators(), day.fleet().targets(), day.load().rate(), day.lasts() / 1_000_000);
+                played = stage.play(System.out::println);
+            }
+            System.out.print(played.service().text());
+            Audit.Report report = Audit.of(recording);
+            System.out.print(report.text(true));
+            return report.clean() && played.leftClean() && played.unfinished() == 0 ? 0 : 1;
+        } finally {
+            Files.deleteIfExists(recording);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/milletyoke/cli/Logs.java
@@ -0,0 +1,46 @@
+package milletyoke.cli;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import net.logstash.logback.encoder.LogstashEncoder;
+import org.slf4j.LoggerFactory;
+
+/** How the program tells of itself on standard error: lines of text, or of JSON. */
+final class Logs {
+    enum Form { text, json }
+
+    enum Depth { error, warn, info, debug }
+
+    private Logs() {
+    }
+
+    static void begin(Form form, Depth depth) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.reset();
+        Encoder<ILoggingEvent> encoder;
+        if (form == Form.json) {
+            encoder = new LogstashEncoder();
+        } else {
+            PatternLayoutEncoder pattern = new PatternLayoutEncoder();
+            pattern.setPattern("%d{HH:mm:ss.SSS} %-5level %logger{0}: %msg%n");
+            encoder = pattern;
+        }
+        encoder.setContext(context);
+        encoder.start();
+        ConsoleAppender<ILoggingEvent> out = new ConsoleAppender<>();
+        out.setContext(context);
+        out.setTarget("System.err");
+        out.setEncoder(encoder);
+        out.start();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.addAppender(out);
+        root.setLevel(Level.WARN);
+        context.getLogger("milletyoke").setLevel(Level.toLevel(depth.name()));
+        java.util.logging.Logger.getLogger("org.glassfish.grizzly").setLevel(java.util.logging.Level.SEVERE);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/milletyoke/cli/Main.java
@@ -0,0 +1,54 @@
+package milletyoke.cli;
+
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import milletyoke.gateway.setup.SetupError;
+import milletyoke.rehearsal.script.ScriptError;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ScopeType;
+
+/** The command line. Ends with 0, with 1 where what was asked for failed, with 2 where it was asked wrongly. */
+@Command(name = "milletyoke", mixinStandardHelpOptions = true, version = "milletyoke 0.2.0",
+        description = "A storage gateway that schedules a host's reads and writes over storage nodes.",
+        subcommands = {Demo.class, RunInitiator.class, RunTarget.class, RunDiscovery.class, RunLoad.class,
+            Rehearse.class, RunAudit.class, Check.class},
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:done", "1:failed", "2:wrong use, or a file that cannot be used"})
+public final class Main implements Callable<Integer> {
+    @Option(names = "--log", scope = ScopeType.INHERIT, defaultValue = "text",
+            description = "Form of the log on standard error: ${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
+    private Logs.Form log;
+
+    @Option(names = "--log-level", scope = ScopeType.INHERIT, defaultValue = "info",
+            description = "Least serious lines shown: ${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
+    private Logs.Depth level;
+
+    public static void main(String[] args) {
+        Main main = new Main();
+        CommandLine line = new CommandLine(main);
+        line.setExecutionStrategy(parsed -> {
+            Logs.begin(main.log, main.level);
+            return new CommandLine.RunLast().execute(parsed);
+        });
+        line.setExecutionExceptionHandler((failure, command, parsed) -> {
+            boolean wrongUse = failure instanceof SetupError || failure instanceof ScriptError
+                    || failure instanceof IllegalArgumentException;
+            boolean told = wrongUse || failure instanceof IOException;
+            System.err.println("milletyoke: " + (told ? failure.getMessage() : failure.toString()));
+            if (!told) {
+                failure.printStackTrace();
+            }
+            return wrongUse || failure instanceof java.net.BindException
+                    || failure.getCause() instanceof java.net.BindException ? 2 : 1;
+        });
+        System.exit(line.execute(args));
+    }
+
+    @Override
+    public Integer call() {
+        CommandLine.usage(this, System.err);
+        return 2;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/milletyoke/cli/Rehearse.java
@@ -0,0 +1,90 @@
+package milletyoke.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import milletyoke.rehearsal.Stage;
+import milletyoke.rehearsal.audit.Audit;
+import milletyoke.rehearsal.script.BadDay;
+import milletyoke.rehearsal.script.Script;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+@Command(name = "rehearse", mixinStandardHelpOptions = true,
+        description = "Plays bad days on loopback sockets, then audits the rules; 0 only if every rule was kept.")
+final class Rehearse implements Callable<Integer> {
+    @Parameters(arity = "1..*", paramLabel = "SCRIPT", description = "Scripts of bad days.")
+    private List<Path> scripts;
+
+    @Option(names = "--record", paramLabel = "FILE", description = "Keep the recording here (one script only).")
+    private Path keep;
+
+    @Option(names = "--straight", description = "Afterwards play the same load straight to the targets, with nothing"
+            + " between, and compare.")
+    private boolean straight;
+
+    @Option(names = "--quiet", description = "No line every second.")
+    private boolean quiet;
+
+    @Override
+    public Integer call() throws Exception {
+        if (keep != null && scripts.size() > 1) {
+            throw new IllegalArgumentException("--record takes one script, not " + scripts.size());
+        }
+        List<BadDay> days = new java.util.ArrayList<>();
+        for (Path script : scripts) {
+            days.add(Script.read(script)); // all are read before any is played
+        }
+        boolean clean = true;
+        for (BadDay day : days) {
+            clean &= play(day);
+        }
+        return clean ? 0 : 1;
+    }
+
+    private boolean play(BadDay day) throws IOException, InterruptedException {
+        System.out.println("== " + day.name());
+        Path recording = keep != null ? keep : Files.createTempFile("milletyoke-", ".recording");
+        try {
+            Stage.Played played;
+            try (Stage stage = new Stage(day, recording, false)) {
+                played = stage.play(quiet ? line -> { } : System.out::println);
+            }
+            System.out.print(played.service().text());
+            played.counts().forEach(c -> System.out.println("  " + c));
+            Audit.Report report = Audit.of(recording);
+            System.out.print(report.text(true));
+            System.out.printf("%d records, %.0f us of CPU for each access, all parts in one process%n",
+                    report.records(), played.cpuMicros());
+            if (straight) {
+                compare(day, played);
+            }
+            boolean kept = report.clean() && played.leftClean() && played.unfinished() == 0;
+            System.out.println(kept ? "kept" : "NOT KEPT");
+            return kept;
+        } finally {
+            if (keep == null) {
+                Files.deleteIfExists(recording);
+            }
+        }
+    }
+
+    private void compare(BadDay day, Stage.Played through) throws IOException, InterruptedException {
+        Stage.Played bare;
+        Path recording = Files.createTempFile("milletyoke-", ".recording");
+        try (Stage stage = new Stage(day, recording, true)) {
+            bare = stage.play(line -> { });
+        } finally {
+            Files.deleteIfExists(recording);
+        }
+        System.out.println("-- the same load straight to the targets, no scheduling");
+        System.out.print(bare.service().text());
+        System.out.printf("through the initiators: p50 %+.2f ms, CPU %+.0f us for each access, service %+.3f%n",
+                (through.service().times().getValueAtPercentile(50) - bare.service().times().getValueAtPercentile(50))
+                        / 1e3, through.cpuMicros() - bare.cpuMicros(),
+                through.service().whole() - bare.service().whole());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/milletyoke/gateway/link/Links.java
@@ -0,0 +1,356 @@
+package milletyoke.gateway.link;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import milletyoke.gateway.loop.Count;
+import milletyoke.gateway.loop.Counts;
+import milletyoke.gateway.setup.Address;
+import milletyoke.gateway.setup.Setup.Transport;
+import milletyoke.port.Outcome;
+import milletyoke.wire.Line;
+import milletyoke.wire.proto.Cancel;
+import milletyoke.wire.proto.Frame;
+import milletyoke.wire.proto.Load;
+import milletyoke.wire.proto.Probe;
+import milletyoke.wire.proto.Relay;
+import milletyoke.wire.proto.Reply;
+
+/**
+ * The connections to all targets and what is out on them. Decides nothing on accesses: it carries out relays, cancels
+ * and probes, and tells of each the one outcome that is true of it. Rule 2 rests on that: what was never handed to a
+ * connection is NO_CONNECTION or MOOT, what was handed over and got no word is RESET, CANCELLED or TIMED_OUT.
+ *
+ * <p>Owned by the loop; free of sockets and clocks, so the lab can run it.
+ */
+public final class Links {
+    private final Transport transport;
+    private final Dialler dialler;
+    private final Outcomes outcomes;
+    private final Counts counts;
+    private final Map<String, Link> links = new LinkedHashMap<>();
+    private final Map<Line, Conn> conns = new HashMap<>();
+    private final Map<String, Out> relays = new HashMap<>();
+    private final PriorityQueue<Out> byDue = new PriorityQueue<>(Comparator.comparingLong(Out::due));
+    private long now;
+    private long nextNumber = 1;
+    private long nextDial = 1;
+    private long sweepAt;
+
+    public Links(Transport transport, Dialler dialler, Outcomes outcomes, Counts counts) {
+        this.transport = transport;
+        this.dialler = dialler;
+        this.outcomes = outcomes;
+        this.counts = counts;
+    }
+
+    /** One target: its address, its connections, and what waits for one. */
+    private static final class Link {
+        final String id;
+        Address address;
+        boolean listed;
+        final List<Conn> conns = new ArrayList<>();
+        final Map<Long, Dialling> dialling = new LinkedHashMap<>();
+        final ArrayDeque<Out> waiting = new ArrayDeque<>();
+
+        Link(String id) {
+            this.id = id;
+        }
+    }
+
+    private record Dialling(Dialler.Dial dial, long until) {}
+
+    /** One connection and what is out on it. */
+    static final class Conn {
+        final String target;
+        final Line line;
+        final Map<Long, Out> outs = new LinkedHashMap<>();
+        long lastUse;
+
+        Conn(String target, Line line) {
+            this.target = target;
+            this.line = line;
+        }
+    }
+
+    // ---- The list ----
+
+    /** A target as listed; under a new address its old connections are left to finish. */
+    public void listed(String target, Address address) {
+        Link link = links.computeIfAbsent(target, Link::new);
+        link.address = address;
+        link.listed = true;
+    }
+
+    /** A target that is no longer listed keeps what is out there, and is forgotten once nothing is. */
+    public void unlisted(String target) {
+        Link link = links.get(target);
+        if (link != null) {
+            link.listed = false;
+        }
+    }
+
+    // ---- Orders ----
+
+    public void relay(long time, String target, String id, int attempt, long giveUpAt, Relay.Builder relay) {
+        now = time;
+        Out out = new Out(target, id, attempt, now, giveUpAt, now + transport.connectTime());
+        out.number = nextNumber++;
+        out.frame = Frame.newBuilder().setRelay(relay.setNumber(out.number)).build();
+        relays.put(key(id, attempt), out);
+        order(out);
+    }
+
+    public void probe(long time, String target) {
+        now = time;
+        Out out = new Out(target, null, 0, now, now + transport.probeTime(), now + transport.connectTime());
+        out.number = nextNumber++;
+        out.frame = Frame.newBuilder().setProbe(Probe.newBuilder().setNumber(out.number)).build();
+        order(out);
+    }
+
+    /** Stops waiting for a relay; what was never handed over is MOOT, the rest CANCELLED. */
+    public void cancel(long time, String id, int attempt) {
+        now = time;
+        Out out = relays.get(key(id, attempt));
+        if (out == null) {
+            return;
+        }
+        if (out.sent()) {
+            out.conn.line.send(Frame.newBuilder().setCancel(Cancel.newBuilder().setNumber(out.number)).build());
+            end(out, Outcome.CANCELLED, null, null);
+        } else {
+            end(out, Outcome.MOOT, null, null);
+        }
+    }
+
+    private void order(Out out) {
+        Link link = links.get(out.target);
+        if (link == null || link.address == null) {
+            end(out, Outcome.NO_CONNECTION, null, null);
+            return;
+        }
+        if (!transmit(link, out)) {
+            if (link.conns.size() + link.dialling.size() < transport.connections()) {
+                dial(link);
+            }
+            if (link.dialling.isEmpty()) {
+                end(out, Outcome.NO_CONNECTION, null, null);
+                return;
+            }
+            link.waiting.add(out);
+        }
+        byDue.add(out);
+    }
+
+    /** Sends on the connection with the fewest out; false where none has room. */
+    private boolean transmit(Link link, Out out) {
+        Conn least = null;
+        for (Conn c : link.conns) {
+            boolean room = c.outs.size() < transport.streams() && c.line.isOpen();
+            least = room && (least == null || c.outs.size() < least.outs.size()) ? c : least;
+        }
+        if (least == null || !least.line.send(out.frame)) {
+            return false;
+        }
+        out.conn = least;
+        out.frame = null;
+        least.outs.put(out.number, out);
+        least.lastUse = now;
+        return true;
+    }
+
+    private void dial(Link link) {
+        long number = nextDial++;
+        counts.add(Count.CONNECTS);
+        link.dialling.put(number, new Dialling(dialler.dial(link.id, link.address, number),
+                now + transport.connectTime()));
+    }
+
+    // ---- What connections tell ----
+
+    public void dialled(long time, String target, long dial, Line line) {
+        now = time;
+        Link link = links.get(target);
+        if (link == null || link.dialling.remove(dial) == null) {
+            line.close("came too late"); // it was given up, and what waited for it has its outcome
+            return;
+        }
+        Conn conn = new Conn(target, line);
+        conn.lastUse = now;
+        link.conns.add(conn);
+        conns.put(line, conn);
+        serveWaiting(link);
+    }
+
+    private void serveWaiting(Link link) {
+        while (!link.waiting.isEmpty()) {
+            Out out = link.waiting.peekFirst();
+            if (!out.over && !transmit(link, out)) {
+                return;
+            }
+            link.waiting.removeFirst();
+            if (!out.over) {
+                byDue.remove(out); // its due time is another now
+                byDue.add(out);
+            }
+        }
+    }
+
+    public void dialFailed(long time, String target, long dial, String why) {
+        now = time;
+        Link link = links.get(target);
+        if (link != null && link.dialling.remove(dial) != null) {
+            counts.add(Count.CONNECTS_FAILED);
+            failWaiting(link);
+        }
+    }
+
+    private void failWaiting(Link link) {
+        if (link.dialling.isEmpty()) {
+            List<Out> failed = new ArrayList<>(link.waiting);
+            link.waiting.clear();
+            failed.forEach(out -> end(out, Outcome.NO_CONNECTION, null, null));
+        }
+    }
+
+    public void lost(long time, String target, Line line) {
+        now = time;
+        Conn conn = conns.remove(line);
+        if (conn == null) {
+            return;
+        }
+        Link link = links.get(target);
+        link.conns.remove(conn);
+        if (!conn.outs.isEmpty()) {
+            counts.add(Count.CONNECTIONS_LOST);
+        }
+        new ArrayList<>(conn.outs.values()).forEach(out -> end(out, Outcome.RESET, null, null));
+    }
+
+    /** Drops a reply to what is no longer out: given up, cancelled, or answered already. */
+    public void replied(long time, Line line, Reply reply) {
+        now = time;
+        Conn conn = conns.get(line);
+        Out out = conn == null ? null : conn.outs.get(reply.getNumber());
+        if (out == null || out.isProbe()) {
+            counts.add(Count.LATE_REPLIES);
+            return;
+        }
+        conn.lastUse = now;
+        end(out, outcome(reply), reply.hasLoad() ? reply.getLoad() : null, reply.getPayload());
+    }
+
+    /** A target tells what became of an access; what only this end can know, it cannot tell: that is an error. */
+    private static Outcome outcome(Reply reply) {
+        return switch (reply.getOutcome()) {
+            case SUCCEEDED -> Outcome.SUCCEEDED;
+            case FULL -> Outcome.FULL;
+            case MOOT -> Outcome.MOOT;
+            default -> Outcome.ERROR;
+        };
+    }
+
+    public void probeReplied(long time, Line line, long number, Load load) {
+        now = time;
+        Conn conn = conns.get(line);
+        Out out = conn == null ? null : conn.outs.get(number);
+        if (out == null || !out.isProbe()) {
+            counts.add(Count.LATE_REPLIES);
+            return;
+        }
+        conn.lastUse = now;
+        end(out, Outcome.SUCCEEDED, load, null);
+    }
+
+    // ---- Time ----
+
+    /** When {@link #look} has something to do next; Long.MAX_VALUE for never. */
+    public long nextDue() {
+        while (!byDue.isEmpty() && byDue.peek().over) {
+            byDue.poll();
+        }
+        return Math.min(byDue.isEmpty() ? Long.MAX_VALUE : byDue.peek().due(),
+                links.isEmpty() ? Long.MAX_VALUE : sweepAt);
+    }
+
+    /** Ends what is past its time, gives up dials, closes idle connections. */
+    public void look(long time) {
+        now = time;
+        while (nextOver() != null) {
+            Out out = byDue.poll();
+            // Not sent by its time to give up: moot. Not sent by the time to connect: no connection.
+            Outcome unsent = now >= out.connectBy ? Outcome.NO_CONNECTION : Outcome.MOOT;
+            end(out, out.sent() ? Outcome.TIMED_OUT : unsent, null, null);
+        }
+        if (now >= sweepAt) {
+            sweepAt = now + Math.max(1_000, Math.min(transport.connectTime(), 250_000));
+            links.values().forEach(this::sweep);
+            links.values().removeIf(l -> !l.listed && l.conns.isEmpty() && l.dialling.isEmpty());
+        }
+    }
+
+    private Out nextOver() {
+        while (!byDue.isEmpty() && byDue.peek().over) {
+            byDue.poll();
+        }
+        return !byDue.isEmpty() && byDue.peek().due() <= now ? byDue.peek() : null;
+    }
+
+    private void sweep(Link link) {
+        link.waiting.removeIf(out -> out.over);
+        boolean gaveUp = link.dialling.values().removeIf(d -> {
+            if (now >= d.until()) {
+                d.dial().giveUp();
+                counts.add(Count.CONNECTS_FAILED);
+                return true;
+            }
+            return false;
+        });
+        if (gaveUp) {
+            failWaiting(link);
+        }
+        if (transport.idle() > 0) {
+            for (Conn c : List.copyOf(link.conns)) {
+                if (c.outs.isEmpty() && now - c.lastUse > transport.idle()) {
+                    c.line.bye("idle");
+                }
+            }
+        }
+    }
+
+    private void end(Out out, Outcome outcome, Load load, ByteString payload) {
+        if (out.over) {
+            return;
+        }
+        out.over = true;
+        out.frame = null;
+        if (out.sent()) {
+            out.conn.outs.remove(out.number);
+        }
+        long lag = now - out.orderedAt;
+        if (out.isProbe()) {
+            double waiting = load != null && load.hasWaiting() ? load.getWaiting() : -1;
+            outcomes.probeEnded(out.target, outcome, lag, waiting);
+        } else {
+            relays.remove(key(out.id, out.attempt));
+            outcomes.relayEnded(out.id, out.attempt, outcome, lag, load, payload);
+        }
+    }
+
+    private static String key(String id, int attempt) {
+        return id + "/" + attempt;
+    }
+
+    /** Relays and probes with no outcome yet. */
+    public int out() {
+        return (int) conns.values().stream().mapToLong(c -> c.outs.size()).sum()
+                + links.values().stream().mapToInt(l -> l.waiting.size()).sum();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/milletyoke/gateway/link/Out.java
@@ -0,0 +1,41 @@
+package milletyoke.gateway.link;
+
+import milletyoke.wire.proto.Frame;
+
+/** One relay or probe from the order to send it to its outcome. Owned by the loop. */
+final class Out {
+    final String target;
+    /** The access and its relay; null for a probe. */
+    final String id;
+    final int attempt;
+    final long orderedAt;
+    final long giveUpAt;
+    /** When waiting for a connection ends. */
+    final long connectBy;
+    Frame frame;
+    Links.Conn conn;
+    long number;
+    boolean over;
+
+    Out(String target, String id, int attempt, long orderedAt, long giveUpAt, long connectBy) {
+        this.target = target;
+        this.id = id;
+        this.attempt = attempt;
+        this.orderedAt = orderedAt;
+        this.giveUpAt = giveUpAt;
+        this.connectBy = connectBy;
+    }
+
+    boolean isProbe() {
+        return id == null;
+    }
+
+    boolean sent() {
+        return conn != null;
+    }
+
+    /** When the loop must look at it next. */
+    long due() {
+        return sent() ? giveUpAt : Math.min(giveUpAt, connectBy);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
@@ -0,0 +1,290 @@
+package milletyoke.gateway.loop;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import milletyoke.Decide;
+import milletyoke.gateway.link.Dialler;
+import milletyoke.gateway.link.Links;
+import milletyoke.gateway.setup.Address;
+import milletyoke.gateway.setup.Setup;
+import milletyoke.port.Action;
+import milletyoke.port.Event;
+import milletyoke.wire.proto.Relay;
+import milletyoke.wire.proto.TargetList;
+import org.HdrHistogram.Histogram;
+import org.jctools.queues.MpscArrayQueue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The one thread that owns {@link Decide} and all that it decides on. Others tell it what happened through a bounded
+ * queue without locks; it never waits for a socket or a disk.
+ */
+public final class Loop {
+    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+    /** Taken from the queue in one turn at most, so that a flood does not keep answers from leaving. */
+    private static final int MOST_A_TURN = 1024;
+    /** Microseconds: the longest that the loop sleeps, and how often it looks for what is past all use. */
+    private static final long LONGEST_SLEEP = 50_000;
+
+    /** What the loop needs of the rest of the initiator. */
+    public interface Surroundings extends Dialler {
+        /** Ask discovery to tell every change from this version on. */
+        void follow(long version);
+
+        /** The list changed; to be kept where a folder lasts, off the loop's thread. */
+        void listHeld(TargetList whole);
+
+        /** An access no longer takes a place. */
+        void freePlace(milletyoke.wire.Line client);
+    }
+
+    private final Setup setup;
+    private final Surroundings around;
+    private final LongSupplier clock;
+    private final Counts counts;
+    private final MpscArrayQueue<Told> queue;
+    private final int roomForAccesses;
+    private final Decide decide = new Decide();
+    private final Ledger ledger;
+    private final Links links;
+    private final Roster roster;
+    private final Histogram turnTimes = new Histogram(60_000_000, 3);
+    private final Thread thread;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final java.util.ArrayDeque<Told> own = new java.util.ArrayDeque<>();
+    private volatile boolean parked;
+    private volatile boolean killed;
+    private volatile Throwable fault;
+    private boolean leaving;
+    private long alarmAt = Long.MAX_VALUE;
+    private long overdueAt;
+
+    /** @param clock microseconds, never going back */
+    public Loop(Setup setup, Surroundings around, LongSupplier clock, Counts counts) {
+        this.setup = setup;
+        this.around = around;
+        this.clock = clock;
+        this.counts = counts;
+        queue = new MpscArrayQueue<>(setup.room().queue());
+        roomForAccesses = queue.capacity() - queue.capacity() / 4;
+        ledger = new Ledger(setup.name() + "." + clock.getAsLong() + ".", setup.deployment().answerSlack(), counts,
+                around::freePlace);
+        links = new Links(setup.transport(), around, ledger, counts);
+        roster = new Roster(new Roster.Addresses() {
+            @Override
+            public void listed(String target, Address address) {
+                links.listed(target, address);
+            }
+
+            @Override
+            public void unlisted(String target) {
+                links.unlisted(target);
+            }
+        });
+        ledger.connect(new Outlets());
+        thread = new Thread(this::run, setup.name() + "-loop");
+        thread.setDaemon(true);
+    }
+
+    /** What is decided, on its way out. */
+    private final class Outlets implements Ledger.Outlet {
+        @Override
+        public void relay(String target, String id, int attempt, long giveUpAt, Relay.Builder relay) {
+            links.relay(clock.getAsLong(), target, id, attempt, giveUpAt, relay);
+        }
+
+        @Override
+        public void cancel(String id, int attempt) {
+            links.cancel(clock.getAsLong(), id, attempt);
+        }
+
+        @Override
+        public void probe(String target) {
+            links.probe(clock.getAsLong(), target);
+        }
+
+        @Override
+        public void wake(long in) {
+            alarmAt = Math.min(alarmAt, clock.getAsLong() + in);
+        }
+
+        @Override
+        public void follow() {
+            around.follow(roster.version());
+        }
+    }
+
+    /**
+     * Starts the life of the initiator.
+     *
+     * @param restored the list as last held, null for none
+     */
+    public void start(long seed, TargetList restored) {
+        ledger.happened(new Event.Start(seed, setup.deployment().provisioning()));
+        TargetList known = restored == null ? TargetList.getDefaultInstance() : restored;
+        ledger.happened(roster.listed(clock.getAsLong(), known, true));
+        thread.start();
+    }
+
+    // ---- Other threads ----
+
+    /** Offers an access; false where the queue has no room for it, and then it was not taken. */
+    public boolean offer(Told.Taken access) {
+        if (queue.size() > roomForAccesses || !queue.offer(access)) {
+            return false;
+        }
+        wakeUp();
+        return true;
+    }
+
+    /**
+     * Tells what must not be lost. Where the queue is full the caller waits until the loop has taken some, and so its
+     * peer is held back by its connection; the last quarter is kept free of accesses for this.
+     */
+    public void tell(Told told) {
+        if (Thread.currentThread() == thread) {
+            own.add(told); // the loop cannot wait for itself
+            return;
+        }
+        while (!queue.offer(told)) {
+            if (ended.getCount() == 0 || killed) {
+                return;
+            }
+            wakeUp();
+            LockSupport.parkNanos(20_000);
+        }
+        wakeUp();
+    }
+
+    private void wakeUp() {
+        if (parked) {
+            LockSupport.unpark(thread);
+        }
+    }
+
+    /** Stops at once, as a kill would: nothing held is answered. */
+    public void kill() {
+        killed = true;
+        LockSupport.unpark(thread);
+    }
+
+    /** Waits for the loop's end. */
+    public boolean awaitEnd(long millis) throws InterruptedException {
+        return ended.await(millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** What ended the loop though nobody asked for it; null where nothing did. */
+    public Throwable fault() {
+        return fault;
+    }
+
+    // ---- The loop's own thread ----
+
+    private void run() {
+        try {
+            while (!killed && !(leaving && ledger.unanswered() == 0 && !ledger.hasEvents())) {
+                turn();
+            }
+        } catch (RuntimeException | Error thrown) {
+            fault = thrown;
+            LOG.error("the loop failed; everything held is broken off", thrown);
+            ledger.breakOffAll();
+        } finally {
+            ended.countDown();
+        }
+    }
+
+    private void turn() {
+        int took = 0;
+        for (Told told = next(); told != null && took < MOST_A_TURN; told = next()) {
+            learn(told);
+            took++;
+        }
+        long now = clock.getAsLong();
+        links.look(now);
+        if (now >= overdueAt) {
+            overdueAt = now + LONGEST_SLEEP;
+            ledger.endOverdue(now);
+        }
+        if (now >= alarmAt) {
+            alarmAt = Long.MAX_VALUE;
+            ledger.happened(new Event.Alarm());
+        }
+        if (ledger.hasEvents()) {
+            decide(now);
+        } else if (took == 0) {
+            sleep(now);
+        }
+    }
+
+    private Told next() {
+        Told told = own.poll();
+        return told != null ? told : queue.poll();
+    }
+
+    private void decide(long now) {
+        counts.add(Count.TURNS);
+        List<Action> actions = decide.decide(now, ledger.drain());
+        ledger.carryOut(now, actions);
+        turnTimes.recordValue(Math.min(60_000_000, clock.getAsLong() - now));
+    }
+
+    private void sleep(long now) {
+        long until = Math.min(Math.min(alarmAt, links.nextDue()), now + LONGEST_SLEEP);
+        parked = true;
+        if (queue.isEmpty() && own.isEmpty() && !killed && until > now) {
+            LockSupport.parkNanos(this, (until - now) * 1000);
+        }
+        parked = false;
+    }
+
+    private void learn(Told told) {
+        long now = clock.getAsLong();
+        if (told instanceof Told.Taken t) {
+            ledger.taken(now, t.client(), t.access());
+        } else if (told instanceof Told.Left t) {
+            ledger.left(t.client(), t.number());
+        } else if (told instanceof Told.ClientGone t) {
+            ledger.clientGone(t.client());
+        } else if (told instanceof Told.Dialled t) {
+            links.dialled(now, t.target(), t.dial(), t.line());
+        } else if (told instanceof Told.DialFailed t) {
+            links.dialFailed(now, t.target(), t.dial(), t.why());
+        } else if (told instanceof Told.LinkLost t) {
+            links.lost(now, t.target(), t.line());
+        } else if (told instanceof Told.Replied t) {
+            links.replied(now, t.line(), t.reply());
+        } else if (told instanceof Told.ProbeReplied t) {
+            links.probeReplied(now, t.line(), t.number(), t.load());
+        } else if (told instanceof Told.Listed t) {
+            counts.add(Count.LISTS);
+            ledger.happened(roster.listed(now, t.list(), false));
+            around.listHeld(roster.whole());
+        } else if (told instanceof Told.ListUnavailable t) {
+            counts.add(Count.LISTS_UNAVAILABLE);
+            ledger.happened(new Event.TargetList(Event.Scope.UNAVAILABLE, List.of()));
+        } else if (told instanceof Told.Leave) {
+            leaving = true;
+        } else if (told instanceof Told.Do t) {
+            t.task().run();
+        }
+    }
+
+    /** Shows figures of the loop to a reader, on the loop's thread. */
+    public void show(Consumer<Figures> reader) {
+        tell(new Told.Do(() -> reader.accept(new Figures(ledger.held(), ledger.unanswered(), links.out(),
+                roster.size(), roster.version(), turnTimes.copy()))));
+    }
+
+    /**
+     * The loop at one moment.
+     *
+     * @param turnTimes microseconds of each turn's decisions and what was done on them
+     */
+    public record Figures(int held, int unanswered, int out, int targets, long version, Histogram turnTimes) {}
+}
--- /dev/null
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Roster.java
@@ -0,0 +1,105 @@
+package milletyoke.gateway.loop;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import milletyoke.gateway.setup.Address;
+import milletyoke.port.Event;
+import milletyoke.wire.proto.Health;
+import milletyoke.wire.proto.Scope;
+import milletyoke.wire.proto.Target;
+import milletyoke.wire.proto.TargetList;
+
+/**
+ * The list of targets as discovery told it, on this initiator's clock. A target's start is set against discovery's
+ * clock once and then kept: a start that moved a little with each list would read as a restart.
+ */
+final class Roster {
+    /** More targets than any list of one frame can hold are not remembered. */
+    private static final int MOST_STARTS = 1 << 17;
+
+    /** What becomes of addresses. */
+    interface Addresses {
+        void listed(String target, Address address);
+
+        void unlisted(String target);
+    }
+
+    private record Start(long told, long local) {}
+
+    private final Addresses addresses;
+    private final Map<String, Target> held = new LinkedHashMap<>();
+    private final Map<String, Start> starts = new LinkedHashMap<>();
+    private long version;
+    private long toldNow;
+
+    Roster(Addresses addresses) {
+        this.addresses = addresses;
+    }
+
+    /** The version held, to be told to discovery. */
+    long version() {
+        return version;
+    }
+
+    /** @param now when the list came, on this initiator's clock */
+    Event.TargetList listed(long now, TargetList list, boolean restored) {
+        if (list.getScope() != Scope.UPDATE) {
+            held.keySet().forEach(addresses::unlisted);
+            held.clear();
+        }
+        List<Event.Target> targets = new ArrayList<>();
+        for (Target t : list.getTargetList()) {
+            if (t.getHealth() == Health.GONE) {
+                held.remove(t.getId());
+                addresses.unlisted(t.getId());
+            } else {
+                held.put(t.getId(), t);
+                addresses.listed(t.getId(), new Address(t.getHost(), t.getPort()));
+            }
+            targets.add(new Event.Target(t.getShard(), t.getId(), t.getZone(), health(t), start(now, t, list)));
+        }
+        if (list.getScope() != Scope.UPDATE) {
+            starts.keySet().retainAll(held.keySet());
+        }
+        version = list.getVersion();
+        toldNow = list.getNow();
+        Event.Scope scope = restored ? Event.Scope.RESTORED
+                : list.getScope() == Scope.UPDATE ? Event.Scope.UPDATE : Event.Scope.REPLACE;
+        return new Event.TargetList(scope, List.copyOf(targets));
+    }
+
+    private static Event.Health health(Target t) {
+        return switch (t.getHealth()) {
+            case ON -> Event.Health.ON;
+            case GONE -> Event.Health.GONE;
+            default -> Event.Health.DRAINING; // of a state not known here: the side on which no rule can break
+        };
+    }
+
+    private long start(long now, Target t, TargetList list) {
+        if (t.getLaunched() == 0) {
+            return 0;
+        }
+        Start known = starts.get(t.getId());
+        if (known == null || known.told() != t.getLaunched()) {
+            long local = Math.max(1, now - Math.max(0, list.getNow() - t.getLaunched()));
+            known = new Start(t.getLaunched(), local);
+            if (starts.size() < MOST_STARTS) {
+                starts.put(t.getId(), known);
+            }
+        }
+        return known.local();
+    }
+
+    /** The whole list as held, to be kept over a restart. */
+    TargetList whole() {
+        return TargetList.newBuilder().setVersion(version).setScope(Scope.REPLACE).setNow(toldNow)
+                .addAllTarget(held.values()).build();
+    }
+
+    int size() {
+        return held.size();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Told.java
@@ -0,0 +1,38 @@
+package milletyoke.gateway.loop;
+
+import milletyoke.wire.Line;
+import milletyoke.wire.proto.Access;
+import milletyoke.wire.proto.Load;
+import milletyoke.wire.proto.Reply;
+import milletyoke.wire.proto.TargetList;
+
+/** What other threads tell the loop, in the order in which each of them tells it. */
+public sealed interface Told {
+    record Taken(Line client, Access access) implements Told {}
+
+    /** The client no longer waits for one access. */
+    record Left(Line client, long number) implements Told {}
+
+    /** The client's connection is gone. */
+    record ClientGone(Line client) implements Told {}
+
+    record Dialled(String target, long dial, Line line) implements Told {}
+
+    record DialFailed(String target, long dial, String why) implements Told {}
+
+    record LinkLost(String target, Line line, String why) implements Told {}
+
+    record Replied(Line line, Reply reply) implements Told {}
+
+    record ProbeReplied(Line line, long number, Load load) implements Told {}
+
+    record Listed(TargetList list) implements Told {}
+
+    record ListUnavailable(String why) implements Told {}
+
+    /** Take nothing new; the loop ends once every access held has its answer. */
+    record Leave() implements Told {}
+
+    /** Anything else that must happen on the loop's thread. */
+    record Do(Runnable task) implements Told {}
+}
--- /dev/null
+++ b/gateway/src/main/java/milletyoke/gateway/setup/Form.java
@@ -0,0 +1,205 @@
+package milletyoke.gateway.setup;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One object of a setup, read field by field: each field is asked for once with its type, bounds and default, and at
+ * the end what was never asked for is an error. Times are text with a unit and come out as microseconds.
+ */
+public final class Form {
+    private static final Pattern TIME = Pattern.compile("([0-9]+(?:\\.[0-9]+)?) ?(us|ms|s|min|h)");
+    private static final Map<String, Double> MICROS =
+            Map.of("us", 1.0, "ms", 1e3, "s", 1e6, "min", 60e6, "h", 3600e6);
+    private static final double LONGEST = 100 * 3600e6;
+
+    private final String source;
+    private final String path;
+    private final Json5.Value self;
+    private final Set<String> asked = new HashSet<>();
+
+    private Form(String source, String path, Json5.Value self) throws SetupError {
+        this.source = source;
+        this.path = path;
+        this.self = self;
+        if (self.object() == null) {
+            throw wrong(self, path.isEmpty() ? "the setup" : path, "an object is expected, not " + self.kind());
+        }
+    }
+
+    public static Form read(Path file) throws SetupError {
+        return new Form(file.toString(), "", Json5.read(file));
+    }
+
+    public static Form of(String source, String text) throws SetupError {
+        return new Form(source, "", Json5.read(source, text));
+    }
+
+    private SetupError wrong(Json5.Value at, String field, String what) {
+        return new SetupError(source + ":" + at.line() + ": " + field + ": " + what);
+    }
+
+    /** An error at a field of this object, or at the object where the field is absent. */
+    public SetupError wrong(String field, String what) {
+        return wrong(self.object().getOrDefault(field, self), path + field, what);
+    }
+
+    private Json5.Value ask(String field, boolean needed) throws SetupError {
+        asked.add(field);
+        Json5.Value value = self.object().get(field);
+        if (value == null && needed) {
+            throw wrong(self, path + field, "is missing");
+        }
+        return value;
+    }
+
+    public boolean has(String field) {
+        return self.object().containsKey(field);
+    }
+
+    /** @param usual null where the field must be there */
+    public String text(String field, String usual) throws SetupError {
+        Json5.Value value = ask(field, usual == null);
+        if (value == null) {
+            return usual;
+        }
+        if (!(value.scalar() instanceof String text)) {
+            throw wrong(value, path + field, "text is expected, not " + value.kind());
+        }
+        if (text.isBlank() || text.length() > 4096) {
+            throw wrong(value, path + field, "text of 1 to 4096 characters is expected");
+        }
+        return text;
+    }
+
+    public <E extends Enum<E>> E word(String field, Class<E> words, E usual) throws SetupError {
+        Json5.Value value = ask(field, usual == null);
+        if (value == null) {
+            return usual;
+        }
+        String text = value.scalar() instanceof String s ? s : "";
+        List<String> known = new ArrayList<>();
+        for (E word : words.getEnumConstants()) {
+            String name = word.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            known.add(name);
+            if (name.equals(text)) {
+                return word;
+            }
+        }
+        throw wrong(value, path + field, "one of " + String.join(", ", known) + " is expected");
+    }
+
+    public boolean flag(String field, boolean usual) throws SetupError {
+        Json5.Value value = ask(field, false);
+        if (value == null) {
+            return usual;
+        }
+        if (!(value.scalar() instanceof Boolean flag)) {
+            throw wrong(value, path + field, "true or false is expected, not " + value.kind());
+        }
+        return flag;
+    }
+
+    /** @param usual NaN where the field must be there */
+    public double figure(String field, double usual, double least, double most) throws SetupError {
+        Json5.Value value = ask(field, Double.isNaN(usual));
+        if (value == null) {
+            return usual;
+        }
+        if (!(value.scalar() instanceof Double figure)) {
+            throw wrong(value, path + field, "a number is expected, not " + value.kind());
+        }
+        if (!(figure >= least && figure <= most)) {
+            throw wrong(value, path + field, plain(figure) + " is out of range, " + plain(least) + " to "
+                    + plain(most) + " is");
+        }
+        return figure;
+    }
+
+    /** @param usual Integer.MIN_VALUE where the field must be there */
+    public int whole(String field, int usual, int least, int most) throws SetupError {
+        double figure = figure(field, usual == Integer.MIN_VALUE ? Double.NaN : usual, least, most);
+        if (figure != Math.rint(figure)) {
+            throw wrong(field, "a whole number is expected, not " + figure);
+        }
+        return (int) figure;
+    }
+
+    /** Microseconds. @param usual null where the field must be there, else a time as it would be written */
+    public long time(String field, String usual) throws SetupError {
+        Json5.Value value = ask(field, usual == null);
+        String text = value == null ? usual : value.scalar() instanceof String s ? s : "";
+        if (text.equals("0")) {
+            return 0;
+        }
+        Matcher m = TIME.matcher(text);
+        if (!m.matches()) {
+            throw wrong(value == null ? self : value, path + field,
+                    "a time with its unit is expected, as \"250 ms\" (us, ms, s, min, h), not "
+                            + (value.scalar() == null ? value.kind() : value.scalar()));
+        }
+        double micros = Double.parseDouble(m.group(1)) * MICROS.get(m.group(2));
+        if (micros > LONGEST) {
+            throw wrong(field, text + " is over 100 h");
+        }
+        return Math.round(micros);
+    }
+
+    public Form form(String field) throws SetupError {
+        return new Form(source, path + field + ".", ask(field, true));
+    }
+
+    /** An object that may be left out: all of its fields then have their defaults. */
+    public Form optional(String field) throws SetupError {
+        Json5.Value value = ask(field, false);
+        return new Form(source, path + field + ".",
+                value == null ? new Json5.Value(self.line(), Map.of(), null, null) : value);
+    }
+
+    public List<Form> forms(String field, boolean needed) throws SetupError {
+        Json5.Value value = ask(field, needed);
+        List<Form> forms = new ArrayList<>();
+        if (value == null) {
+            return forms;
+        }
+        if (value.list() == null) {
+            throw wrong(value, path + field, "a list is expected, not " + value.kind());
+        }
+        for (Json5.Value one : value.list()) {
+            forms.add(new Form(source, path + field + "[" + forms.size() + "].", one));
+        }
+        return forms;
+    }
+
+    /** A socket address as host:port. */
+    public Address address(String field, String usual) throws SetupError {
+        String text = text(field, usual);
+        try {
+            return Address.of(text);
+        } catch (IllegalArgumentException bad) {
+            throw wrong(field, bad.getMessage());
+        }
+    }
+
+    /** To be called last: what was never asked for is not known. */
+    public void done() throws SetupError {
+        for (Map.Entry<String, Json5.Value> field : self.object().entrySet()) {
+            if (!asked.contains(field.getKey())) {
+                throw wrong(field.getValue(), path + field.getKey(), "is not known here; known are "
+                        + String.join(", ", new java.util.TreeSet<>(asked)));
+            }
+        }
+    }
+
+    private static String plain(double figure) {
+        return figure == Math.rint(figure) && Math.abs(figure) < 1e15 ? Long.toString((long) figure)
+                : Double.toString(figure);
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -0,0 +1,517 @@
+package milletyoke.rehearsal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import milletyoke.gateway.Initiator;
+import milletyoke.gateway.setup.Address;
+import milletyoke.gateway.setup.Setup;
+import milletyoke.port.Provisioning.Category;
+import milletyoke.port.Provisioning.Group;
+import milletyoke.port.Provisioning.Repeats;
+import milletyoke.rehearsal.script.BadDay;
+import milletyoke.rehearsal.script.BadDay.Trouble;
+import milletyoke.standins.Clients;
+import milletyoke.standins.Demand;
+import milletyoke.standins.Discovery;
+import milletyoke.standins.Marks;
+import milletyoke.standins.Nature;
+import milletyoke.standins.Service;
+import milletyoke.standins.Target;
+import milletyoke.wire.Tap;
+import milletyoke.wire.Wire;
+import milletyoke.wire.proto.Health;
+import milletyoke.wire.proto.Note;
+import milletyoke.wire.record.Recorder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Plays one bad day on loopback sockets: real initiators between stand-ins for clients, targets and discovery, all in
+ * this process, and every trouble of the script at its time.
+ */
+public final class Stage implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Stage.class);
+    /** The machine stood still where a short sleep took this much longer (microseconds). */
+    private static final long NAP = 5_000, STOOD = 15_000;
+
+    private final BadDay day;
+    private final boolean straight;
+    private final Recorder recorder;
+    private final Path folder;
+    private final ScheduledThreadPoolExecutor clockwork = new ScheduledThreadPoolExecutor(3, task -> {
+        Thread thread = new Thread(task, "clockwork");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final SplittableRandom chance;
+    private final Discovery discovery;
+    /** By shard: who holds it now. */
+    private final List<Target> targets = new ArrayList<>();
+    private final List<Target> replaced = new ArrayList<>();
+    private final Map<String, Long> launched = new ConcurrentHashMap<>();
+    private final Map<String, Marks> marks = new HashMap<>();
+    private final Initiator[] initiators;
+    private final int[] ports;
+    private final boolean[] running;
+    private final Clients clients;
+    private final List<String> volumes = new ArrayList<>();
+    private volatile boolean over;
+
+    /**
+     * What came of it.
+     *
+     * @param unfinished tries still without an answer when all should have had one
+     * @param cpuMicros of this process, for each access asked
+     */
+    public record Played(Service service, long unfinished, double cpuMicros, List<String> counts, boolean leftClean) {}
+
+    /**
+     * Sets the stage; nothing is asked yet.
+     *
+     * @param recording where what the sockets saw is written; null for nowhere
+     * @param straight clients go straight to the targets, for comparison; there are no initiators then
+     */
+    public Stage(BadDay day, Path recording, boolean straight) throws IOException {
+        this.day = day;
+        this.straight = straight;
+        chance = new SplittableRandom(day.seed());
+        recorder = recording == null ? null : new Recorder(recording);
+        folder = Files.createTempDirectory("milletyoke-rehearsal");
+        note("stage", Note.Kind.BOUNDS, rules(), 0);
+        initiators = new Initiator[straight ? 0 : day.initiators()];
+        ports = new int[initiators.length];
+        running = new boolean[initiators.length];
+        discovery = new Discovery(0, chance.nextLong(), clockwork, tap("discovery"));
+        discovery.lag(day.fleet().listLag()[0], day.fleet().listLag()[1]);
+        for (int shard = 0; shard < day.fleet().targets(); shard++) {
+            Target target = target("t" + (shard + 1), shard);
+            target.start(false);
+            targets.add(target);
+            discovery.learn(entry(target, Health.ON));
+        }
+        for (int i = 0; i < initiators.length; i++) {
+            startInitiator(i);
+        }
+        clients = new Clients(demand(), straight, chance.nextLong(), clockwork, tap("client"));
+        for (int i = 0; i < initiators.length; i++) {
+            clients.addDoor(initiators[i].name(), "127.0.0.1", ports[i]);
+        }
+        if (straight) {
+            targets.forEach(t -> clients.addDoor(t.id(), "127.0.0.1", t.port()));
+        }
+        Thread naps = new Thread(this::watchForStandstill, "naps");
+        naps.setDaemon(true);
+        naps.start();
+    }
+
+    private Tap tap(String witness) {
+        return recorder == null ? Tap.NONE : recorder.tap(witness);
+    }
+
+    private void note(String who, Note.Kind kind, String text, double figure) {
+        if (recorder != null) {
+            recorder.note(who, kind, text, figure);
+        }
+    }
+
+    private void watchForStandstill() {
+        long last = Wire.micros();
+        while (!over) {
+            LockSupport.parkNanos(NAP * 1000);
+            long now = Wire.micros();
+            if (now - last > NAP + STOOD) {
+                note("machine", Note.Kind.STOOD_STILL, "", now - last);
+            }
+            last = now;
+        }
+    }
+
+    // ---- Who is there ----
+
+    private String zone(int shard) {
+        return "zone-" + (1 + shard % day.fleet().zones());
+    }
+
+    private Target target(String id, int shard) {
+        BadDay.Fleet f = day.fleet();
+        double speed = f.speeds()[0] + chance.nextDouble() * (f.speeds()[1] - f.speeds()[0]);
+        BadDay.BoundsOf b = day.bounds();
+        Nature nature = new Nature(f.cores(), speed, f.unit(), f.room(), f.connections(), f.extents(), f.extentSaves(),
+                f.putOff(), f.putOffEvery(), f.pauseEvery(), f.pause(), b.coldShare(), b.cold(), b.tipMultiple(),
+                b.fall(), f.tells(), f.dropsCancelled());
+        return new Target(id, shard, nature, chance.nextLong(), clockwork, category -> marks(category, shard),
+                tap(id), this::note);
+    }
+
+    /** The marks that the target of a shard shares with its group; null where repeats are not dropped. */
+    private synchronized Marks marks(String category, int shard) {
+        for (Category c : day.categories()) {
+            if (c.name().equals(category) && c.repeats() == Repeats.STAMPED) {
+                String group = c.group() == Group.ALL ? "all" : c.group() == Group.ZONE ? zone(shard) : "cell" + shard;
+                return marks.computeIfAbsent(category + " " + group, g -> new Marks(c.repeatWindow()));
+            }
+        }
+        return null;
+    }
+
+    private milletyoke.wire.proto.Target entry(Target target, Health health) {
+        return Discovery.entry(target, zone(target.shard()), health, launched.getOrDefault(target.id(), 0L));
+    }
+
+    private void startInitiator(int i) throws IOException {
+        String name = "initiator-" + (i + 1);
+        Setup setup = new Setup(name, i + 1, new Address("127.0.0.1", ports[i]),
+                new Address("127.0.0.1", discovery.port()), folder.resolve(name), day.deployment(),
+                new Setup.Transport(250_000, 30_000_000, 4, 100, 250_000, 1 << 20, 8L << 20, 5_000_000, 2),
+                new Setup.Room(day.held(), 1 << 16, 1 << 16, 1e6, 3_600_000_000L));
+        note(name, Note.Kind.UP, "initiator", 0);
+        initiators[i] = Initiator.start(setup, tap(name));
+        ports[i] = initiators[i].port();
+        running[i] = true;
+    }
+
+    /** Volumes of each plan, with data on one to four targets and a leading initiator each, drawn from the seed. */
+    private Demand demand() {
+        SplittableRandom draw = new SplittableRandom(day.seed());
+        List<Demand.Kind> kinds = new ArrayList<>();
+        double shares = day.kinds().stream().mapToDouble(BadDay.Kind::share).sum();
+        for (int k = 0; k < day.kinds().size(); k++) {
+            BadDay.Kind kind = day.kinds().get(k);
+            Category c = day.categories().get(k);
+            kinds.add(new Demand.Kind(c.name(), kind.share() / shares, kind.leastUnits(), kind.mostUnits(), kind.write(),
+                    c.keyOrdered(), BadDay.repeats(c), c.repeats() == Repeats.STAMPED && c.group() == Group.ALL,
+                    c.agreedTime(), kind.abandon(), c.importance(), kind.anywhere()));
+        }
+        List<Demand.Volume> all = new ArrayList<>();
+        double parts = day.plans().stream().mapToDouble(BadDay.PlanOf::share).sum();
+        for (BadDay.PlanOf plan : day.plans()) {
+            for (int v = 0; v < plan.volumes(); v++) {
+                String name = plan.plan().name() + "-" + (v + 1);
+                volumes.add(name);
+                all.add(new Demand.Volume(name, plan.plan().name(), plan.share() / parts / plan.volumes(),
+                        some(draw, day.fleet().targets(), 1 + draw.nextInt(4)),
+                        some(draw, day.initiators(), plan.hosts())));
+            }
+        }
+        BadDay.Load l = day.load();
+        return new Demand(l.rate(), kinds, all, l.retries(), l.retryWait(), l.impatient(), l.littleTime()[0],
+                l.littleTime()[1], l.vanish(), day.bounds().answerSlack());
+    }
+
+    private static int[] some(SplittableRandom draw, int of, int most) {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < of; i++) {
+            all.add(i);
+        }
+        Collections.shuffle(all, new Random(draw.nextLong()));
+        return all.subList(0, Math.min(of, most)).stream().mapToInt(i -> i).toArray();
+    }
+
+    private String rules() {
+        List<Map<String, Object>> categories = new ArrayList<>();
+        for (Category c : day.categories()) {
+            categories.add(Map.of("name", c.name(), "repeats", c.repeats().name().toLowerCase(Locale.ROOT), "group",
+                    c.group().name().toLowerCase(Locale.ROOT), "window", c.repeatWindow(), "ordered", c.keyOrdered()));
+        }
+        List<Map<String, Object>> plans = new ArrayList<>();
+        day.plans().forEach(p -> plans.add(Map.of("name", p.plan().name(), "rate", p.plan().limitRate(), "depth",
+                p.plan().limitDepth(), "slack", p.plan().limitSlack())));
+        BadDay.BoundsOf b = day.bounds();
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("categories", categories);
+        all.put("plans", plans);
+        all.put("maxRelays", day.allowances().maxRelays());
+        all.put("answerSlack", b.answerSlack());
+        all.put("drainGrace", b.drainGrace());
+        all.put("keyQuiet", b.keyQuiet());
+        all.put("cold", b.cold());
+        all.put("coldShare", b.coldShare());
+        all.put("fall", b.fall());
+        all.put("tip", b.tipMultiple());
+        all.put("budgetFree", b.budgetFree());
+        all.put("budgetShare", b.budgetShare());
+        all.put("budgetSpan", b.budgetSpan());
+        try {
+            return new ObjectMapper().writeValueAsString(all);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    // ---- The day ----
+
+    /** Plays the day to its end. @param live hears a line of service every second; may do nothing */
+    public Played play(Consumer<String> live) throws IOException, InterruptedException {
+        if (!clients.awaitDoors(10_000)) {
+            throw new IOException("the clients found no way in within 10 s");
+        }
+        Thread.sleep(300); // the list reaches every initiator
+        long cpu = cpu();
+        day.troubles().forEach(this::arrange);
+        clients.start();
+        long start = Wire.micros();
+        for (long second = 1; Wire.micros() < start + day.lasts(); second++) {
+            long until = Math.min(start + second * 1_000_000, start + day.lasts());
+            LockSupport.parkNanos(Math.max(0, until - Wire.micros()) * 1000);
+            while (Wire.micros() < until) {
+                LockSupport.parkNanos(100_000);
+            }
+            live.accept(String.format("%3d s  %s", second, clients.service().brief()));
+        }
+        long longest = day.kinds().stream().mapToLong(BadDay.Kind::abandon).max().orElse(0);
+        int unfinished = clients.stop((longest + day.bounds().answerSlack()) / 1000 + 1_000);
+        double cpuEach = (cpu() - cpu) / 1e3 / Math.max(1, clients.service().askedInAll());
+        List<String> counts = new ArrayList<>();
+        boolean clean = true;
+        for (int n = 0; n < initiators.length; n++) {
+            Initiator i = initiators[n];
+            if (running[n]) {
+                clean &= i.leave(longest / 1000 + 1_000);
+                counts.add(i.name() + ": " + i.counts());
+            }
+        }
+        return new Played(clients.service(), unfinished, cpuEach, counts, clean);
+    }
+
+    private static long cpu() {
+        return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+                .getProcessCpuTime();
+    }
+
+    private void arrange(Trouble t) {
+        after(t.at(), () -> {
+            LOG.info("{} strikes", t.sort().name().toLowerCase(Locale.ROOT).replace('_', ' '));
+            strike(t);
+        });
+    }
+
+    private interface Task {
+        void run() throws Exception;
+    }
+
+    private void after(long micros, Task task) {
+        clockwork.schedule(() -> {
+            if (over) {
+                return;
+            }
+            try {
+                task.run();
+            } catch (Exception failed) {
+                LOG.error("a trouble could not be played", failed);
+                note("stage", Note.Kind.OTHER, "a trouble could not be played: " + failed, 0);
+            }
+        }, micros, TimeUnit.MICROSECONDS);
+    }
+
+    private List<Integer> struck(BadDay.Selection whom, int of) {
+        if (whom.number() > 0) {
+            return List.of(whom.number() - 1);
+        }
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < of; i++) {
+            all.add(i);
+        }
+        Collections.shuffle(all, new Random(draw()));
+        return all.subList(0, Math.max(1, (int) Math.round(whom.part() * of)));
+    }
+
+    private synchronized long draw() {
+        return chance.nextLong();
+    }
+
+    private List<Target> struckTargets(Trouble t) {
+        synchronized (targets) {
+            return struck(t.whom(), targets.size()).stream().map(targets::get).toList();
+        }
+    }
+
+    private void strike(Trouble t) throws Exception {
+        switch (t.sort()) {
+            case HANG -> span(t, x -> x.hang(true), x -> x.hang(false));
+            case UNREACHABLE -> span(t, x -> {
+                x.refuse(true);
+                x.resetConnections();
+            }, x -> x.refuse(false));
+            case SLOW -> span(t, x -> x.slow(t.figure()), x -> x.slow(1));
+            case PAUSES -> span(t, x -> x.pauses(t.every(), t.range()[0], t.range()[1]), x -> x.pauses(0, 0, 0));
+            case ERRORS -> span(t, x -> x.errors(t.figure()), x -> x.errors(0));
+            case RESETS -> {
+                List<Target> whom = struckTargets(t);
+                for (long in = 0; in < t.span(); in += t.every()) {
+                    after(in, () -> whom.forEach(Target::resetConnections));
+                }
+            }
+            case RESTART -> struckTargets(t).forEach(x -> restart(x, between(t.range())));
+            case ROLL -> roll(t);
+            case DRAIN -> span(t, x -> discovery.change(entry(x, Health.DRAINING)),
+                    x -> discovery.change(entry(x, Health.ON)));
+            case AGE -> age(t);
+            case LIST_LATE -> {
+                discovery.lag(t.range()[0], t.range()[1]);
+                long[] usual = day.fleet().listLag();
+                after(t.span(), () -> discovery.lag(usual[0], usual[1]));
+            }
+            case LIST_PARTIAL -> {
+                Set<String> hidden = new LinkedHashSet<>();
+                struckTargets(t).forEach(x -> hidden.add(x.id()));
+                discovery.hide(hidden);
+                after(t.span(), () -> discovery.hide(Set.of()));
+            }
+            case LIST_UNAVAILABLE -> {
+                discovery.unavailable(true);
+                after(t.span(), () -> discovery.unavailable(false));
+            }
+            case KILL -> struckInitiators(t).forEach(i -> kill(i, between(t.range())));
+            case LEAVE -> struckInitiators(t).forEach(i -> leave(i, between(t.range())));
+            case STILL -> struckInitiators(t).forEach(i -> initiators[i].standStill(t.span() / 1000, () ->
+                    note("initiator-" + (i + 1), Note.Kind.STOOD_STILL, "", t.span())));
+            case SURGE -> {
+                Set<String> whom = new LinkedHashSet<>();
+                struck(new BadDay.Selection(1, 0), volumes.size()).stream().limit(t.count())
+                        .forEach(v -> whom.add(volumes.get(v)));
+                clients.surge(whom, t.figure());
+                after(t.span(), () -> clients.surge(Set.of(), 0));
+            }
+            case HOTKEY -> {
+                clients.hotKey(t.figure());
+                after(t.span(), () -> clients.hotKey(0));
+            }
+            case RECONNECT -> {
+                note("client", Note.Kind.OTHER, "clients reconnect", 0);
+                clients.reconnect();
+            }
+        }
+    }
+
+    private long between(long[] range) {
+        return range[0] + (range[1] > range[0] ? Math.floorMod(draw(), range[1] - range[0]) : 0);
+    }
+
+    private List<Integer> struckInitiators(Trouble t) {
+        return struck(t.whom(), initiators.length).stream().filter(i -> initiators.length > 0).toList();
+    }
+
+    private void span(Trouble t, Consumer<Target> begins, Consumer<Target> ends) {
+        List<Target> whom = struckTargets(t);
+        whom.forEach(begins);
+        after(t.span(), () -> whom.forEach(ends));
+    }
+
+    private void restart(Target target, long down) {
+        target.kill();
+        discovery.change(entry(target, Health.GONE));
+        after(down, () -> {
+            launched.put(target.id(), Discovery.now());
+            target.start(true);
+            discovery.change(entry(target, Health.ON));
+        });
+    }
+
+    /** One after another is told to drain, its successor under a new id starts cold, and then it goes. */
+    private void roll(Trouble t) {
+        List<Target> whom = struckTargets(t);
+        for (int i = 0; i < whom.size(); i++) {
+            Target old = whom.get(i);
+            after(t.span() * i / whom.size(), () -> {
+                discovery.change(entry(old, Health.DRAINING));
+                Target next = target(old.id() + "n", old.shard());
+                launched.put(next.id(), Discovery.now());
+                next.start(true);
+                discovery.change(entry(next, Health.ON));
+                synchronized (targets) {
+                    targets.set(old.shard(), next);
+                    replaced.add(old);
+                }
+                if (straight) {
+                    clients.moveDoor(old.shard(), next.port());
+                }
+                after(t.down() + day.fleet().listLag()[1], () -> {
+                    old.kill();
+                    discovery.change(entry(old, Health.GONE));
+                });
+            });
+        }
+    }
+
+    /** Grows slower in ten steps, then is gone and comes back cold. */
+    private void age(Trouble t) {
+        List<Target> whom = struckTargets(t);
+        for (int step = 1; step <= 10; step++) {
+            double factor = 1 + (t.figure() - 1) * step / 10;
+            after(t.span() * step / 10, () -> whom.forEach(x -> x.slow(factor)));
+        }
+        after(t.span(), () -> whom.forEach(x -> {
+            x.slow(1);
+            restart(x, t.down());
+        }));
+    }
+
+    private void kill(int i, long down) {
+        if (!running[i]) {
+            return;
+        }
+        running[i] = false;
+        note("initiator-" + (i + 1), Note.Kind.KILLED, "", 0);
+        initiators[i].kill();
+        after(down, () -> startInitiator(i));
+    }
+
+    private void leave(int i, long down) {
+        if (!running[i]) {
+            return;
+        }
+        running[i] = false;
+        note("initiator-" + (i + 1), Note.Kind.LEAVING, "", 0);
+        Thread leaver = new Thread(() -> {
+            try {
+                initiators[i].leave(30_000);
+                after(down, () -> startInitiator(i));
+            } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
+            }
+        }, "leaver");
+        leaver.setDaemon(true);
+        leaver.start();
+    }
+
+    @Override
+    public void close() throws IOException {
+        over = true;
+        clockwork.shutdownNow();
+        for (Initiator i : initiators) {
+            if (i != null) {
+                i.kill();
+            }
+        }
+        Stream.concat(targets.stream(), replaced.stream()).forEach(Target::kill);
+        discovery.stop();
+        if (recorder != null) {
+            recorder.close();
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+        }
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/audit/KeyOrder.java
@@ -0,0 +1,75 @@
+package milletyoke.rehearsal.audit;
+
+import java.util.ArrayDeque;
+
+/** Rule 5: accesses of one key run one at a time, in the order taken, with a rest after what may still run. */
+final class KeyOrder extends Check {
+    private long least = Long.MAX_VALUE;
+
+    KeyOrder() {
+        super(5, "order per key, with rest after time-out, reset and cancel");
+    }
+
+    @Override
+    void taken(Seen seen) {
+        if (applies(seen)) {
+            seen.life.keys.computeIfAbsent(seen.access.getExtent(), k -> new ArrayDeque<>()).addLast(seen);
+        }
+    }
+
+    private boolean applies(Seen seen) {
+        RuleBook.Category c = book.categories().get(seen.access.getCategory());
+        return c != null && c.ordered() && !seen.access.getExtent().isEmpty();
+    }
+
+    @Override
+    void relayed(Seen seen, Seen.Sent sent) {
+        if (!applies(seen)) {
+            return;
+        }
+        ArrayDeque<Seen> turn = seen.life.keys.get(seen.access.getExtent());
+        String key = seen.access.getExtent();
+        while (turn.peekFirst() != seen && isDone(turn.peekFirst(), sent.at)) {
+            rest(turn.removeFirst(), key, sent.at);
+        }
+        for (Seen before : turn) {
+            if (before == seen) {
+                break;
+            }
+            rest(before, key, sent.at);
+            if (!isDone(before, sent.at)) {
+                breach(seen.id + " was sent before " + before.id + " of the same key was over", before.frame,
+                        sent.frame);
+            }
+        }
+        tested += turn.size() > 1 ? 1 : 0;
+        Long unsure = seen.life.keyUnsure.get(key);
+        if (unsure != null && seen.relays.size() == 1) {
+            long spare = sent.at - (unsure + book.keyQuiet());
+            tested++;
+            least = Math.min(least, spare);
+            if (spare < 0) {
+                breach(seen.id + " was sent " + millis(-spare) + " before its key had rested", sent.frame);
+            }
+        }
+    }
+
+    private static boolean isDone(Seen seen, long now) {
+        return seen.isOver() && seen.relays.stream().allMatch(s -> s.hasEnded(now));
+    }
+
+    private static void rest(Seen seen, String key, long now) {
+        for (Seen.Sent s : seen.relays) {
+            long since = s.unsureSince(now);
+            if (since >= 0) {
+                seen.life.keyUnsure.merge(key, since, Math::max);
+            }
+        }
+    }
+
+    @Override
+    String nearest() {
+        return least == Long.MAX_VALUE ? "no key had to rest" : "after a rest, the next left " + millis(least)
+                + " later than it might";
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/audit/Limits.java
@@ -0,0 +1,83 @@
+package milletyoke.rehearsal.audit;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Rule 7: what all initiators together send for a volume stays within its plan's limit. */
+final class Limits extends Check {
+    private static final class Store {
+        double units;
+        long at;
+        double askedAbove;
+        double asked;
+        long askedAt;
+    }
+
+    private final Map<String, Store> stores = new HashMap<>();
+    private double deepest;
+    private String deepestOf = "";
+
+    Limits() {
+        super(7, "limits kept, all initiators together");
+    }
+
+    private RuleBook.Plan plan(Seen seen) {
+        RuleBook.Plan plan = book.plans().get(seen.access.getPlan());
+        return plan == null || plan.rate() <= 0 ? null : plan;
+    }
+
+    private Store store(Seen seen, RuleBook.Plan plan, long at) {
+        return stores.computeIfAbsent(seen.access.getVolume(), v -> {
+            Store s = new Store();
+            s.units = plan.depth();
+            s.asked = plan.depth();
+            s.at = at;
+            s.askedAt = at;
+            return s;
+        });
+    }
+
+    /** A limit is put to the test when more is asked than it lets through. */
+    @Override
+    void taken(Seen seen) {
+        RuleBook.Plan plan = plan(seen);
+        if (plan != null) {
+            Store s = store(seen, plan, seen.at);
+            s.asked = Math.min(plan.depth(), s.asked + plan.rate() * (seen.at - s.askedAt) / 1e6);
+            s.askedAt = seen.at;
+            s.asked -= seen.access.getUnits();
+            if (s.asked < 0) {
+                tested++;
+                s.asked = Math.max(s.asked, -plan.depth());
+            }
+        }
+    }
+
+    @Override
+    void relayed(Seen seen, Seen.Sent sent) {
+        RuleBook.Plan plan = plan(seen);
+        if (plan == null || seen.drawn) {
+            return;
+        }
+        seen.drawn = true;
+        Store s = store(seen, plan, sent.at);
+        s.units = Math.min(plan.depth(), s.units + plan.rate() * Math.max(0, sent.at - s.at) / 1e6);
+        s.at = Math.max(s.at, sent.at);
+        s.units -= seen.access.getUnits();
+        double dip = plan.slack() > 0 ? -s.units / plan.slack() : s.units < 0 ? 2 : 0;
+        if (dip > deepest) {
+            deepest = dip;
+            deepestOf = seen.access.getVolume();
+        }
+        if (dip > 1 + 1e-9) {
+            breach(String.format("%s was sent %.2f units beyond its limit, %.2f are the slack",
+                    seen.access.getVolume(), -s.units, plan.slack()), sent.frame);
+        }
+    }
+
+    @Override
+    String nearest() {
+        return deepest <= 0 ? "no store went under 0" : String.format("at most %.0f%% of the slack was used, by %s",
+                100 * deepest, deepestOf);
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
@@ -0,0 +1,73 @@
+package milletyoke.rehearsal.script;
+
+import java.util.List;
+import milletyoke.gateway.setup.Deployment;
+import milletyoke.port.Provisioning;
+import milletyoke.standins.Demand;
+
+/**
+ * A day to be played: who is there, what is asked, and what goes wrong when. Times are microseconds.
+ *
+ * @param lasts how long clients ask
+ * @param held most accesses that one initiator holds
+ * @param unit work of one unit at a core of speed 1
+ * @param speeds of cores, least and most; each target draws one
+ */
+public record BadDay(String name, long seed, long lasts, int initiators, int held, Fleet fleet,
+        List<Provisioning.Category> categories, List<Kind> kinds, List<PlanOf> plans, Provisioning.Allowances allowances,
+        BoundsOf bounds, boolean listAsked, Load load, List<Trouble> troubles) {
+
+    /** The targets; see {@link milletyoke.standins.Nature}. */
+    public record Fleet(int targets, int zones, int cores, double[] speeds, long unit, int room, int connections,
+            int extents, double extentSaves, double putOff, long putOffEvery, long pauseEvery, long pause, boolean tells,
+            boolean dropsCancelled, long[] listLag) {}
+
+    /** What clients know of a category beside its provisioning. */
+    public record Kind(double share, int leastUnits, int mostUnits, boolean write, boolean anywhere, long abandon) {}
+
+    /** A plan, the part of demand on it and how many volumes have it. */
+    public record PlanOf(Provisioning.Plan plan, double share, int volumes, int hosts) {}
+
+    /** The rules' figures; what a cold target bears follows from the fleet. */
+    public record BoundsOf(long answerSlack, long drainGrace, long keyQuiet, long cold, double coldShare, long fall,
+            double tipMultiple, double budgetFree, double budgetShare, long budgetSpan, long mustAskIn) {}
+
+    public record Load(double rate, int retries, long retryWait, double impatient, long[] littleTime, double vanish) {}
+
+    /**
+     * Something that goes wrong.
+     *
+     * @param at since the start
+     * @param line of the script, for messages
+     */
+    public record Trouble(long at, int line, Sort sort, Selection whom, long span, double figure, long[] range,
+            long every, int count, long down) {}
+
+    /** Which targets or initiators: a part of them drawn from the seed, or one by number from 1. */
+    public record Selection(double part, int number) {}
+
+    public enum Sort {
+        HANG, SLOW, PAUSES, ERRORS, RESETS, UNREACHABLE, RESTART, ROLL, DRAIN, AGE, LIST_LATE, LIST_PARTIAL,
+        LIST_UNAVAILABLE, KILL, STILL, LEAVE, SURGE, HOTKEY, RECONNECT
+    }
+
+    /** Units within the fall time that a cold target always bears, whichever target it is. */
+    public double coldBears() {
+        double weakest = fleet.cores() * fleet.speeds()[0] * 1e6 / fleet.unit();
+        return Math.floor(bounds.tipMultiple() * bounds.coldShare() * weakest * bounds.fall() / 1e6 * 0.9);
+    }
+
+    /** What its initiators are provisioned with. */
+    public Deployment deployment() {
+        var b = bounds;
+        return new Deployment(new Provisioning(initiators, categories, plans.stream().map(PlanOf::plan).toList(),
+                allowances, new Provisioning.Bounds(b.keyQuiet(), b.cold(), b.coldShare(), coldBears(), b.fall(),
+                b.tipMultiple(), b.budgetFree(), b.budgetShare(), b.budgetSpan(), b.mustAskIn()), listAsked),
+                b.answerSlack(), b.drainGrace());
+    }
+
+    /** How clients know the repeats of a category. */
+    public static Demand.Repeats repeats(Provisioning.Category c) {
+        return Demand.Repeats.valueOf(c.repeats().name());
+    }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
@@ -0,0 +1,332 @@
+package milletyoke.rehearsal.script;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import milletyoke.port.Provisioning.Allowances;
+import milletyoke.port.Provisioning.Category;
+import milletyoke.port.Provisioning.Group;
+import milletyoke.port.Provisioning.Plan;
+import milletyoke.port.Provisioning.Repeats;
+import milletyoke.rehearsal.script.BadDay.Selection;
+import milletyoke.rehearsal.script.BadDay.Sort;
+import milletyoke.rehearsal.script.BadDay.Trouble;
+
+/**
+ * Reads the notation of bad days, one statement a line, # before a remark; docs/rehearsal.md has every statement.
+ */
+public final class Script {
+    private final String file;
+    private final String name;
+    private final Map<String, Words> single = new HashMap<>();
+    private final List<Words> categories = new ArrayList<>();
+    private final List<Words> plans = new ArrayList<>();
+    private final List<Trouble> troubles = new ArrayList<>();
+    private boolean listAsked;
+
+    private Script(String file, String name) {
+        this.file = file;
+        this.name = name;
+    }
+
+    public static BadDay read(Path path) throws ScriptError {
+        String text;
+        try {
+            text = Files.readString(path);
+        } catch (java.nio.file.NoSuchFileException missing) {
+            throw new ScriptError(path + ": there is no such file");
+        } catch (IOException unreadable) {
+            throw new ScriptError(path + ": cannot be read: " + unreadable.getMessage());
+        }
+        return read(path.toString(), String.valueOf(path.getFileName()).replaceAll("\\.day$", ""), text);
+    }
+
+    /** @param file what messages call it */
+    public static BadDay read(String file, String name, String text) throws ScriptError {
+        Script script = new Script(file, name);
+        int line = 0;
+        for (String one : text.split("\n", -1)) {
+            line++;
+            String bare = one.replaceAll("#.*", "").trim();
+            if (!bare.isEmpty()) {
+                script.statement(new Words(file, line, bare), line);
+            }
+        }
+        return script.day();
+    }
+
+    private void statement(Words w, int line) throws ScriptError {
+        String verb = w.next("a statement");
+        switch (verb) {
+            case "seed", "lasts", "initiators", "targets", "bounds", "allowances", "load", "list" -> {
+                if (single.put(verb, w) != null) {
+                    throw w.wrong(verb + " stands there twice");
+                }
+            }
+            case "category" -> categories.add(w);
+            case "plan" -> plans.add(w);
+            case "at" -> troubles.add(trouble(w, line));
+            default -> throw w.wrong("\"" + verb + "\" is no statement; seed, lasts, initiators, targets, bounds, "
+                    + "allowances, load, list, category, plan and at are");
+        }
+    }
+
+    private Words single(String verb) throws ScriptError {
+        Words w = single.get(verb);
+        return w == null ? new Words(file, 0, "") : w;
+    }
+
+    // ---- Who is there and what is asked ----
+
+    private BadDay day() throws ScriptError {
+        Words seed = single("seed");
+        String seedText = seed.next();
+        long seedValue = seedText == null ? 1 : (long) seed.figure("seed", seedText, "");
+        seed.done();
+        Words lasts = single("lasts");
+        String lastsText = lasts.next();
+        long lastsValue = lastsText == null ? 10_000_000 : lasts.time("lasts", lastsText, false);
+        lasts.done();
+        Words ini = single("initiators");
+        String count = ini.next();
+        int initiators = count == null ? 3 : (int) ini.figure("initiators", count, "");
+        int held = ini.whole("held", "10000");
+        ini.done();
+        if (initiators < 1 || initiators > 100) {
+            throw ini.wrong("1 to 100 initiators can be played, not " + initiators);
+        }
+        BadDay.Fleet fleet = fleet(single("targets"), single("list"));
+        List<Category> provisioned = new ArrayList<>();
+        List<BadDay.Kind> kinds = new ArrayList<>();
+        for (Words w : categories) {
+            category(w, provisioned, kinds);
+        }
+        if (provisioned.isEmpty()) {
+            throw new ScriptError(file + ": no category is given");
+        }
+        List<BadDay.PlanOf> planned = new ArrayList<>();
+        for (Words w : plans) {
+            planned.add(plan(w));
+        }
+        if (planned.isEmpty()) {
+            throw new ScriptError(file + ": no plan is given");
+        }
+        BadDay.BoundsOf bounds = bounds(single("bounds"));
+        Words a = single("allowances");
+        Allowances allowances = new Allowances(Math.max(1, a.whole("relays", "3")), !a.flag("noprobes"),
+                !a.flag("nocancels"), !a.flag("noadvice"), a.time("advice", "500ms"));
+        a.done();
+        BadDay.Load load = load(single("load"));
+        for (Trouble t : troubles) {
+            boolean initiator = t.sort() == Sort.KILL || t.sort() == Sort.STILL || t.sort() == Sort.LEAVE;
+            int most = initiator ? initiators : fleet.targets();
+            if (t.whom().number() > most) {
+                throw new ScriptError(file + ":" + t.line() + ": there are " + most + ", none has number "
+                        + t.whom().number());
+            }
+        }
+        return new BadDay(name, seedValue, lastsValue, initiators, held, fleet, provisioned, kinds, planned, allowances,
+                bounds, listAsked, load, List.copyOf(troubles));
+    }
+
+    private BadDay.Fleet fleet(Words w, Words list) throws ScriptError {
+        String count = w.next();
+        int targets = count == null ? 8 : (int) w.figure("targets", count, "");
+        if (targets < 1 || targets > 1000) {
+            throw w.wrong("1 to 1000 targets can be played, not " + targets);
+        }
+        listAsked = list.flag("asked");
+        long[] lag = list.times("lag", "100ms..300ms");
+        list.done();
+        BadDay.Fleet fleet = new BadDay.Fleet(targets, Math.max(1, w.whole("zones", "1")),
+                Math.max(1, w.whole("cores", "2")), w.figures("speed", "1..1.4"), w.time("unit", "2ms"),
+                w.whole("room", "40"), Math.max(1, w.whole("connections", "100")), w.whole("extents", "3"),
+                w.part("saves", "50%"), w.part("putoff", "30%"), w.time("putoffevery", "2s"),
+                w.time("pauseevery", "0"), w.time("pause", "100ms"), w.flag("tells"), w.flag("dropscancelled"), lag);
+        w.done();
+        if (fleet.unit() <= 0 || fleet.speeds()[0] <= 0) {
+            throw w.wrong("unit and speed must be over 0");
+        }
+        return fleet;
+    }
+
+    private void category(Words w, List<Category> provisioned, List<BadDay.Kind> kinds) throws ScriptError {
+        String called = w.next("the category's name");
+        double share = w.part("share", null);
+        Repeats repeats = word(w, "repeats", Repeats.class, "harmless");
+        Group group = word(w, "group", Group.class, "all");
+        double[] units = w.figures("units", "1..4");
+        boolean ordered = w.flag("ordered");
+        boolean write = w.flag("write");
+        boolean anywhere = w.flag("anywhere");
+        Category category = new Category(called, repeats, group, w.time("window", "2500ms"), ordered,
+                w.time("agreed", null), w.figure("importance", "1"));
+        kinds.add(new BadDay.Kind(share, (int) units[0], (int) units[1], write, anywhere, w.time("abandon", null)));
+        provisioned.add(category);
+        w.done();
+    }
+
+    private static <E extends Enum<E>> E word(Words w, String name, Class<E> words, String usual) throws ScriptError {
+        String text = w.text(name, usual);
+        for (E one : words.getEnumConstants()) {
+            if (one.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(text)) {
+                return one;
+            }
+        }
+        throw w.wrong(name + ": \"" + text + "\" is not known");
+    }
+
+    private static BadDay.PlanOf plan(Words w) throws ScriptError {
+        String called = w.next("the plan's name");
+        Plan plan = new Plan(called, w.figure("reserve", "0"), w.figure("weight", "1"), w.figure("limit", "0"),
+                w.figure("depth", "0"), w.figure("slack", "0"));
+        BadDay.PlanOf of = new BadDay.PlanOf(plan, w.part("share", null), Math.max(1, w.whole("volumes", "8")),
+                Math.max(1, w.whole("hosts", "2")));
+        w.done();
+        return of;
+    }
+
+    private static BadDay.BoundsOf bounds(Words w) throws ScriptError {
+        BadDay.BoundsOf bounds = new BadDay.BoundsOf(w.time("slack", "100ms"), w.time("grace", "500ms"),
+                w.time("keyquiet", "0"), w.time("cold", "0"), w.part("coldshare", "30%"), w.time("fall", "0"),
+                w.figure("tip", "2"), w.figure("budgetfree", "0"), w.part("budgetshare", "0"),
+                w.time("budgetspan", "0"), w.time("mustask", "10s"));
+        w.done();
+        return bounds;
+    }
+
+    private static BadDay.Load load(Words w) throws ScriptError {
+        String rate = w.next();
+        BadDay.Load load = new BadDay.Load(rate == null ? 400 : w.figure("load", rate, "/s"), w.whole("retries", "1"),
+                w.time("wait", "100ms"), w.part("impatient", "0"), w.times("time", "100ms..200ms"),
+                w.part("vanish", "0"));
+        w.done();
+        return load;
+    }
+
+    // ---- What goes wrong ----
+
+    private static Trouble trouble(Words w, int line) throws ScriptError {
+        long at = w.time("at", w.next("the time"), true);
+        String verb = w.next("what happens");
+        Selection whom = new Selection(0, 0);
+        long span = 0, every = 0, down = 0;
+        long[] range = {0, 0};
+        double figure = 0;
+        int count = 0;
+        Sort sort;
+        switch (verb) {
+            case "hang", "unreachable" -> {
+                sort = verb.equals("hang") ? Sort.HANG : Sort.UNREACHABLE;
+                whom = whom(w);
+                span = w.time("for", null);
+            }
+            case "slow" -> {
+                sort = Sort.SLOW;
+                whom = whom(w);
+                figure = w.figure("by", null);
+                span = w.time("for", null);
+            }
+            case "pauses" -> {
+                sort = Sort.PAUSES;
+                whom = whom(w);
+                range = w.times("of", null);
+                every = w.time("every", "2s");
+                span = w.time("for", null);
+            }
+            case "errors" -> {
+                sort = Sort.ERRORS;
+                whom = whom(w);
+                figure = w.part("part", "60%");
+                span = w.time("for", null);
+            }
+            case "resets" -> {
+                sort = Sort.RESETS;
+                whom = whom(w);
+                every = w.time("every", "200ms");
+                span = w.time("for", null);
+            }
+            case "restart" -> {
+                sort = Sort.RESTART;
+                whom = whom(w);
+                range = w.times("down", "500ms");
+            }
+            case "roll" -> {
+                sort = Sort.ROLL;
+                whom = whom(w);
+                span = w.time("over", null);
+                down = w.time("down", "300ms");
+            }
+            case "drain" -> {
+                sort = Sort.DRAIN;
+                whom = whom(w);
+                span = w.time("for", null);
+            }
+            case "age" -> {
+                sort = Sort.AGE;
+                whom = whom(w);
+                figure = w.figure("to", "6");
+                span = w.time("over", null);
+                down = w.time("down", "500ms");
+            }
+            case "list" -> {
+                String how = w.next("late, partial or unavailable");
+                sort = switch (how) {
+                    case "late" -> Sort.LIST_LATE;
+                    case "partial" -> Sort.LIST_PARTIAL;
+                    case "unavailable" -> Sort.LIST_UNAVAILABLE;
+                    default -> throw w.wrong("a list is late, partial or unavailable, not \"" + how + "\"");
+                };
+                if (sort == Sort.LIST_LATE) {
+                    range = w.times("by", null);
+                } else if (sort == Sort.LIST_PARTIAL) {
+                    whom = whom(w);
+                }
+                span = w.time("for", null);
+            }
+            case "kill", "leave" -> {
+                sort = verb.equals("kill") ? Sort.KILL : Sort.LEAVE;
+                whom = whom(w);
+                range = w.times("down", "1s");
+            }
+            case "still" -> {
+                sort = Sort.STILL;
+                whom = whom(w);
+                span = w.time("for", null);
+            }
+            case "surge" -> {
+                sort = Sort.SURGE;
+                count = Math.max(1, w.whole("volumes", "3"));
+                figure = w.part("by", w.text("by", "50%"), 20);
+                span = w.time("for", null);
+            }
+            case "hotkey" -> {
+                sort = Sort.HOTKEY;
+                figure = w.part("part", "30%");
+                span = w.time("for", null);
+            }
+            case "reconnect" -> sort = Sort.RECONNECT;
+            default -> throw w.wrong("\"" + verb + "\" is no trouble that can be played");
+        }
+        w.done();
+        return new Trouble(at, line, sort, whom, span, figure, range, every, count, down);
+    }
+
+    /** A part as 40%, or a number as 2. */
+    private static Selection whom(Words w) throws ScriptError {
+        String text = w.next("whom it strikes, as 40% or a number from 1");
+        if (text.endsWith("%")) {
+            return new Selection(w.part("whom", text, 1), 0);
+        }
+        int number = (int) w.figure("whom", text, "");
+        if (number < 1) {
+            throw w.wrong("they are numbered from 1");
+        }
+        return new Selection(0, number);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/milletyoke/standins/Clients.java
@@ -0,0 +1,413 @@
+package milletyoke.standins;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import milletyoke.wire.BadFrame;
+import milletyoke.wire.Bounds;
+import milletyoke.wire.Peer;
+import milletyoke.wire.PeerHandler;
+import milletyoke.wire.Tap;
+import milletyoke.wire.Wire;
+import milletyoke.wire.proto.Access;
+import milletyoke.wire.proto.Answer;
+import milletyoke.wire.proto.Frame;
+import milletyoke.wire.proto.Leave;
+import milletyoke.wire.proto.Outcome;
+import milletyoke.wire.proto.Relay;
+import milletyoke.wire.proto.Role;
+
+/**
+ * Many clients on one connection to each initiator, or straight to each target for comparison. Accesses leave when they
+ * are due, whether or not earlier ones were answered.
+ */
+public final class Clients {
+    private static final Bounds BOUNDS = new Bounds(4 << 20, 64 << 20, 5_000_000, 0);
+
+    private final Demand demand;
+    private final boolean straight;
+    private final Wire wire;
+    private final ScheduledExecutorService clockwork;
+    private final Service service;
+    private final SplittableRandom chance;
+    private final List<Door> doors = new ArrayList<>();
+    private final AtomicLong numbers = new AtomicLong();
+    private final AtomicInteger pendingCount = new AtomicInteger();
+    private final Thread pace;
+    private volatile boolean stopped;
+    private volatile Map<String, Double> surges = Map.of();
+    private volatile double extra;
+    private volatile double hot;
+    private long[] runs;
+    private String[] runExtents;
+
+    /** Where accesses go: one connection, made again whenever it is lost. */
+    private final class Door implements PeerHandler {
+        final String name;
+        final Map<Long, Try> pending = new ConcurrentHashMap<>();
+        volatile String host;
+        volatile int port;
+        volatile Peer peer;
+
+        Door(String name, String host, int port) {
+            this.name = name;
+            this.host = host;
+            this.port = port;
+        }
+
+        void connect() {
+            if (!stopped) {
+                wire.connect(host, port, straight ? Role.INITIATOR : Role.CLIENT, this, BOUNDS,
+                        why -> clockwork.schedule(this::connect, 50, TimeUnit.MILLISECONDS));
+            }
+        }
+
+        @Override
+        public void ready(Peer made) {
+            peer = made;
+        }
+
+        @Override
+        public void got(Peer from, Frame frame) throws BadFrame {
+            switch (frame.getBodyCase()) {
+                case ANSWER -> {
+                    Answer a = frame.getAnswer();
+                    Try t = pending.remove(a.getNumber());
+                    if (t != null) {
+                        answered(t, a);
+                    }
+                }
+                case REPLY -> {
+                    Try t = pending.remove(frame.getReply().getNumber());
+                    if (t != null) {
+                        replied(t, frame.getReply().getOutcome());
+                    }
+                }
+                default -> throw new BadFrame("a client gets answers, not " + frame.getBodyCase());
+            }
+        }
+
+        @Override
+        public void closed(Peer gone, String why) {
+            if (peer == gone) {
+                peer = null;
+            }
+            // What was out there has no answer; a client repeats it where that is harmless.
+            for (Try t : new ArrayList<>(pending.values())) {
+                if (t.peer == gone && pending.remove(t.number) != null) {
+                    lost(t);
+                }
+            }
+            clockwork.schedule(this::connect, 50, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** One try of one access. */
+    private static final class Try {
+        final Demand.Kind kind;
+        final Demand.Volume volume;
+        final int shard;
+        final String extent;
+        final double units;
+        final String mark;
+        final int door;
+        final long due;
+        final long until;
+        final int tries;
+        final boolean vanishes;
+        long number;
+        Peer peer;
+
+        Try(Demand.Kind kind, Demand.Volume volume, int shard, String extent, double units, String mark, int door,
+                long due, long until, int tries,
+                boolean vanishes) {
+            this.kind = kind;
+            this.volume = volume;
+            this.shard = shard;
+            this.extent = extent;
+            this.units = units;
+            this.mark = mark;
+            this.door = door;
+            this.due = due;
+            this.until = until;
+            this.tries = tries;
+            this.vanishes = vanishes;
+        }
+
+        Try next() {
+            return new Try(kind, volume, shard, extent, units, mark, door, due, until, tries + 1, false);
+        }
+    }
+
+    /** @param straight to targets, by shard, with nothing between */
+    public Clients(Demand demand, boolean straight, long seed, ScheduledExecutorService clockwork, Tap tap)
+            throws IOException {
+        this.demand = demand;
+        this.straight = straight;
+        this.clockwork = clockwork;
+        service = new Service(demand);
+        chance = new SplittableRandom(seed);
+        wire = new Wire("client", 2, tap);
+        runs = new long[demand.volumes().size()];
+        runExtents = new String[demand.volumes().size()];
+        pace = new Thread(this::pace, "clients-pace");
+        pace.setDaemon(true);
+    }
+
+    public void addDoor(String name, String host, int port) {
+        Door door = new Door(name, host, port);
+        doors.add(door);
+        door.connect();
+    }
+
+    /** A door moved, as an initiator or target does that comes back elsewhere. */
+    public void moveDoor(int door, int port) {
+        doors.get(door).port = port;
+    }
+
+    public Service service() {
+        return service;
+    }
+
+    /** Waits until every door is open; false where one is not in time. */
+    public boolean awaitDoors(long millis) {
+        long until = Wire.micros() + millis * 1000;
+        while (doors.stream().anyMatch(d -> d.peer == null)) {
+            if (Wire.micros() > until) {
+                return false;
+            }
+            LockSupport.parkNanos(1_000_000);
+        }
+        return true;
+    }
+
+    public void start() {
+        pace.start();
+    }
+
+    /** Some volumes ask for so much more that all traffic grows by this part; an empty set ends it. */
+    public void surge(Set<String> volumes, double by) {
+        Map<String, Double> now = new ConcurrentHashMap<>();
+        volumes.forEach(v -> now.put(v, by / volumes.size()));
+        extra = volumes.isEmpty() ? 0 : by;
+        surges = now;
+    }
+
+    /** This part of accesses goes to one piece of data. */
+    public void hotKey(double part) {
+        hot = part;
+    }
+
+    /** Closes every client connection at once; they connect again. */
+    public void reconnect() {
+        for (Door door : doors) {
+            Peer peer = door.peer;
+            if (peer != null) {
+                peer.close("clients reconnect");
+            }
+        }
+    }
+
+    /** Sends nothing new, waits for what is out, and closes. @return tries still without an answer */
+    public int stop(long millis) throws InterruptedException {
+        stopped = true;
+        pace.join();
+        long until = Wire.micros() + millis * 1000;
+        while (pendingCount.get() > 0 && Wire.micros() < until) {
+            Thread.sleep(5);
+        }
+        int left = pendingCount.get();
+        wire.close();
+        return left;
+    }
+
+    // ---- Sending ----
+
+    private void pace() {
+        long due = Wire.micros();
+        while (!stopped) {
+            double rate = demand.rate() * (1 + extra);
+            due += (long) (-Math.log(1 - chance.nextDouble()) * 1e6 / rate);
+            long wait = due - Wire.micros();
+            if (wait > 0) {
+                LockSupport.parkNanos(wait * 1000);
+            }
+            Try first = draw(due);
+            service.asked(first.kind.name());
+            pendingCount.incrementAndGet();
+            send(first);
+        }
+    }
+
+    private Try draw(long due) {
+        Demand.Kind kind = pickKind();
+        int v = pickVolume();
+        Demand.Volume volume = demand.volumes().get(v);
+        boolean toHot = hot > 0 && chance.nextDouble() < hot;
+        int shard = volume.shards()[toHot ? 0 : chance.nextInt(volume.shards().length)];
+        String extent = toHot ? "hot-" + shard : extent(v, shard);
+        double units = kind.leastUnits() + chance.nextInt(kind.mostUnits() - kind.leastUnits() + 1);
+        int lead = chance.nextDouble() < 0.6 ? 0 : chance.nextInt(volume.initiators().length);
+        int door = straight ? shard : volume.initiators()[lead];
+        boolean impatient = demand.impatient() > 0 && chance.nextDouble() < demand.impatient();
+        long time = impatient ? chance.nextLong(demand.leastTime(), demand.mostTime() + 1) : kind.abandon();
+        String mark = "m" + numbers.incrementAndGet() + "." + volume.name();
+        return new Try(kind, volume, kind.anywhere() && !straight ? -1 : shard, extent, units, mark, door, due,
+                due + time, 0, demand.vanish() > 0 && chance.nextDouble() < demand.vanish());
+    }
+
+    private Demand.Kind pickKind() {
+        double left = chance.nextDouble();
+        for (Demand.Kind kind : demand.kinds()) {
+            left -= kind.share();
+            if (left < 0) {
+                return kind;
+            }
+        }
+        return demand.kinds().get(0);
+    }
+
+    private int pickVolume() {
+        Map<String, Double> now = surges;
+        double left = chance.nextDouble() * (1 + extra);
+        for (int v = 0; v < demand.volumes().size(); v++) {
+            Demand.Volume volume = demand.volumes().get(v);
+            left -= volume.part() + (now.isEmpty() ? 0 : now.getOrDefault(volume.name(), 0.0));
+            if (left < 0) {
+                return v;
+            }
+        }
+        return 0;
+    }
+
+    /** Programs send several accesses to one piece of data in a row. */
+    private String extent(int v, int shard) {
+        if (runs[v]-- <= 0 || runExtents[v] == null) {
+            runs[v] = chance.nextInt(6);
+            runExtents[v] = "x" + chance.nextInt(1000);
+        }
+        return runExtents[v] + "." + v + "." + shard;
+    }
+
+    private void send(Try t) {
+        Door door = doors.get(t.door);
+        Peer peer = door.peer;
+        long now = Wire.micros();
+        long left = t.until - now;
+        if (left <= 0) {
+            finish(t, () -> service.unanswered(t.kind.name()));
+            return;
+        }
+        if (peer == null) {
+            service.unreachable(t.kind.name());
+            again(t, 0, () -> service.unanswered(t.kind.name()));
+            return;
+        }
+        t.number = numbers.incrementAndGet();
+        t.peer = peer;
+        door.pending.put(t.number, t);
+        boolean sent = peer.send(straight ? relay(t, left) : access(t, left));
+        if (!sent) {
+            if (door.pending.remove(t.number) != null) {
+                service.unreachable(t.kind.name());
+                again(t, 0, () -> service.unanswered(t.kind.name()));
+            }
+            return;
+        }
+        long patience = t.vanishes ? Math.min(left / 4, 50_000) : left + demand.answerSlack();
+        clockwork.schedule(() -> giveUp(door, t, t.vanishes), patience, TimeUnit.MICROSECONDS);
+    }
+
+    private Frame access(Try t, long left) {
+        Access.Builder a = Access.newBuilder().setNumber(t.number).setExtent(t.extent).setVolume(t.volume.name())
+                .setPlan(t.volume.plan()).setCategory(t.kind.name()).setHosts(t.volume.initiators().length)
+                .setUnits(t.units).setTimeLeft(left).setWrite(t.kind.write()).setMark(t.mark);
+        if (t.shard >= 0) {
+            a.setShard(t.shard);
+        }
+        if (t.kind.write()) {
+            a.setPayload(ByteString.copyFrom(new byte[(int) (64 * t.units)]));
+        }
+        return Frame.newBuilder().setAccess(a).build();
+    }
+
+    private Frame relay(Try t, long left) {
+        return Frame.newBuilder().setRelay(Relay.newBuilder().setNumber(t.number).setId("s-" + t.number)
+                .setShard(t.shard).setExtent(t.extent).setVolume(t.volume.name()).setCategory(t.kind.name())
+                .setUnits(t.units).setTimeLeft(left).setWrite(t.kind.write()).setMark(t.mark)
+                .setPayload(t.kind.write() ? ByteString.copyFrom(new byte[(int) (64 * t.units)]) : ByteString.EMPTY))
+                .build();
+    }
+
+    private void giveUp(Door door, Try t, boolean leaves) {
+        if (door.pending.remove(t.number) != null) {
+            if (leaves && !straight) {
+                t.peer.send(Frame.newBuilder().setLeave(Leave.newBuilder().setNumber(t.number)).build());
+            }
+            finish(t, () -> service.unanswered(t.kind.name()));
+        }
+    }
+
+    // ---- What comes back ----
+
+    private void answered(Try t, Answer a) {
+        switch (a.getFinal()) {
+            case ANSWERED -> served(t);
+            case REJECTED -> again(t, a.getRetryIn(), () -> service.rejected(t.kind.name()));
+            default -> {
+                if (t.kind.repeats() == Demand.Repeats.HARMLESS) {
+                    again(t, 0, () -> service.brokenOff(t.kind.name()));
+                } else {
+                    finish(t, () -> service.brokenOff(t.kind.name()));
+                }
+            }
+        }
+    }
+
+    private void replied(Try t, Outcome outcome) {
+        switch (outcome) {
+            case SUCCEEDED -> served(t);
+            case FULL, MOOT -> again(t, 0, () -> service.rejected(t.kind.name()));
+            default -> finish(t, () -> service.brokenOff(t.kind.name()));
+        }
+    }
+
+    private void served(Try t) {
+        long micros = Wire.micros() - t.due;
+        finish(t, () -> service.answered(t.kind.name(), micros, micros <= t.kind.agreed()));
+    }
+
+    private void lost(Try t) {
+        boolean harmless = t.kind.repeats() == Demand.Repeats.HARMLESS
+                || t.kind.repeats() == Demand.Repeats.STAMPED && t.kind.stampedForAll();
+        if (harmless) {
+            again(t, 0, () -> service.unanswered(t.kind.name()));
+        } else {
+            finish(t, () -> service.unanswered(t.kind.name()));
+        }
+    }
+
+    private void again(Try t, long advised, Runnable otherwise) {
+        long wait = advised > 0 ? advised : demand.retryWait();
+        if (t.tries >= demand.retries() || Wire.micros() + wait >= t.until || stopped) {
+            finish(t, otherwise);
+            return;
+        }
+        clockwork.schedule(() -> send(t.next()), wait, TimeUnit.MICROSECONDS);
+    }
+
+    private void finish(Try t, Runnable count) {
+        count.run();
+        pendingCount.decrementAndGet();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/milletyoke/standins/Demand.java
@@ -0,0 +1,34 @@
+package milletyoke.standins;
+
+import java.util.List;
+
+/**
+ * What clients ask for. Times are microseconds.
+ *
+ * @param rate accesses a second in total
+ * @param retries further tries of one client for one access
+ * @param retryWait before a further try, where the answer advised nothing
+ * @param impatient this part of accesses comes with little time
+ * @param leastTime of those, and {@code mostTime}
+ * @param vanish this part of accesses is left by its client after a part of its time
+ * @param answerSlack beyond the time it tells, a client waits this long
+ */
+public record Demand(double rate, List<Kind> kinds, List<Volume> volumes, int retries, long retryWait,
+        double impatient, long leastTime, long mostTime, double vanish, long answerSlack) {
+
+    /** How often one access may run, as the client knows it. */
+    public enum Repeats { HARMLESS, STAMPED, ONE_SHOT }
+
+    /** One category of accesses. */
+    public record Kind(String name, double share, int leastUnits, int mostUnits, boolean write, boolean ordered,
+            Repeats repeats, boolean stampedForAll, long agreed, long abandon, double importance, boolean anywhere) {}
+
+    /**
+     * One volume.
+     *
+     * @param part of the demand
+     * @param shards that hold its data
+     * @param initiators through which its accesses come, the leading one first; numbers from 0
+     */
+    public record Volume(String name, String plan, double part, int[] shards, int[] initiators) {}
+}
--- /dev/null
+++ b/standins/src/main/java/milletyoke/standins/Discovery.java
@@ -0,0 +1,145 @@
+package milletyoke.standins;
+
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import milletyoke.wire.BadFrame;
+import milletyoke.wire.Bounds;
+import milletyoke.wire.Peer;
+import milletyoke.wire.PeerHandler;
+import milletyoke.wire.Tap;
+import milletyoke.wire.Wire;
+import milletyoke.wire.proto.Frame;
+import milletyoke.wire.proto.Health;
+import milletyoke.wire.proto.Role;
+import milletyoke.wire.proto.Scope;
+import milletyoke.wire.proto.TargetList;
+
+/**
+ * Tells initiators which targets there are. What happens is known here late, by a lag drawn for each change, and changes
+ * keep their order. A follower gets the whole list and then every change.
+ */
+public final class Discovery implements PeerHandler {
+    private final Wire wire;
+    private final Wire.Listener listener;
+    private final ScheduledExecutorService clockwork;
+    private final SplittableRandom chance;
+    private final Map<String, milletyoke.wire.proto.Target> known = new LinkedHashMap<>();
+    private final Set<Peer> followers = new HashSet<>();
+    private long version = 1;
+    private long leastLag, mostLag;
+    private long lastDue;
+    private boolean unavailable;
+    private Set<String> hidden = Set.of();
+
+    /** @param port 0 takes a free one */
+    public Discovery(int port, long seed, ScheduledExecutorService clockwork, Tap tap) throws IOException {
+        this.clockwork = clockwork;
+        chance = new SplittableRandom(seed);
+        wire = new Wire("discovery", 1, tap);
+        listener = wire.listen("127.0.0.1", port, Role.DISCOVERY, this, new Bounds(16 << 20, 64 << 20, 5_000_000, 0));
+    }
+
+    public int port() {
+        return listener.port();
+    }
+
+    /** The clock on which starts are told (microseconds). */
+    public static long now() {
+        return System.currentTimeMillis() * 1000;
+    }
+
+    public static milletyoke.wire.proto.Target entry(Target target, String zone, Health health, long launched) {
+        return milletyoke.wire.proto.Target.newBuilder().setId(target.id()).setShard(target.shard()).setZone(zone)
+                .setHealth(health).setLaunched(launched).setHost("127.0.0.1").setPort(target.port()).build();
+    }
+
+    /** How late changes are told from now on (microseconds). */
+    public synchronized void lag(long least, long most) {
+        leastLag = least;
+        mostLag = most;
+    }
+
+    /** A change that is so from now on; it is told after the lag. */
+    public synchronized void change(milletyoke.wire.proto.Target entry) {
+        long now = Wire.micros();
+        lastDue = Math.max(lastDue, now + leastLag + (mostLag > leastLag ? chance.nextLong(mostLag - leastLag) : 0));
+        clockwork.schedule(() -> learn(entry), lastDue - now, TimeUnit.MICROSECONDS);
+    }
+
+    /** What is known from the outset. */
+    public synchronized void learn(milletyoke.wire.proto.Target entry) {
+        version++;
+        if (entry.getHealth() == Health.GONE) {
+            known.remove(entry.getId());
+        } else {
+            known.put(entry.getId(), entry);
+        }
+        if (!hidden.contains(entry.getId())) {
+            tell(Scope.UPDATE, List.of(entry));
+        }
+    }
+
+    /** Leaves some targets out of the list, as if they were gone, until all are shown again. */
+    public synchronized void hide(Set<String> targets) {
+        hidden = Set.copyOf(targets);
+        version++;
+        tell(Scope.REPLACE, shown());
+    }
+
+    private List<milletyoke.wire.proto.Target> shown() {
+        return known.values().stream().filter(t -> !hidden.contains(t.getId())).toList();
+    }
+
+    /** Drops every subscription and serves none until it is available again. */
+    public synchronized void unavailable(boolean on) {
+        unavailable = on;
+        if (on) {
+            tell(Scope.UNAVAILABLE, List.of());
+            followers.clear();
+        }
+    }
+
+    private void tell(Scope scope, List<milletyoke.wire.proto.Target> targets) {
+        Frame frame = frame(scope, targets);
+        Set.copyOf(followers).forEach(f -> f.send(frame));
+    }
+
+    private Frame frame(Scope scope, List<milletyoke.wire.proto.Target> targets) {
+        return Frame.newBuilder().setList(TargetList.newBuilder().setVersion(version).setScope(scope).setNow(now())
+                .addAllTarget(targets)).build();
+    }
+
+    @Override
+    public void ready(Peer peer) {
+        // it asks when it wants the list
+    }
+
+    @Override
+    public synchronized void got(Peer peer, Frame frame) throws BadFrame {
+        if (frame.getBodyCase() != Frame.BodyCase.FOLLOW) {
+            throw new BadFrame("discovery is asked to be followed, not " + frame.getBodyCase());
+        }
+        if (unavailable) {
+            peer.send(frame(Scope.UNAVAILABLE, List.of()));
+        } else {
+            followers.add(peer);
+            peer.send(frame(Scope.REPLACE, shown()));
+        }
+    }
+
+    @Override
+    public synchronized void closed(Peer peer, String why) {
+        followers.remove(peer);
+    }
+
+    public void stop() {
+        wire.close();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/milletyoke/standins/Target.java
@@ -0,0 +1,429 @@
+package milletyoke.standins;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import milletyoke.wire.BadFrame;
+import milletyoke.wire.Bounds;
+import milletyoke.wire.Peer;
+import milletyoke.wire.PeerHandler;
+import milletyoke.wire.Tap;
+import milletyoke.wire.Wire;
+import milletyoke.wire.proto.Frame;
+import milletyoke.wire.proto.Load;
+import milletyoke.wire.proto.Note;
+import milletyoke.wire.proto.Outcome;
+import milletyoke.wire.proto.ProbeReply;
+import milletyoke.wire.proto.Relay;
+import milletyoke.wire.proto.Reply;
+import milletyoke.wire.proto.Role;
+
+/**
+ * A storage node of our own writing: serves relays with cores, a waiting room and faults to order. It keeps no data; work
+ * is time. One lock guards its state, and no call to a socket is made under it.
+ */
+public final class Target implements PeerHandler {
+    private final String id;
+    private final int shard;
+    private final Nature nature;
+    private final ScheduledExecutorService clockwork;
+    private final Function<String, Marks> marksOf;
+    private final Tap tap;
+    private final Witness witness;
+    private final SplittableRandom chance;
+
+    private Wire wire;
+    private Wire.Listener listener;
+    private int port;
+    private int life;
+    private boolean up;
+    private long startedAt;
+    private boolean cold;
+
+    private final ArrayDeque<Job> waiting = new ArrayDeque<>();
+    private final Set<Job> running = new HashSet<>();
+    private final ArrayDeque<String> extents = new ArrayDeque<>();
+    private final ArrayDeque<long[]> coldSent = new ArrayDeque<>();
+    private final Set<Peer> peers = new HashSet<>();
+    private double coldUnits;
+    private double putOffWork;
+    private long stillUntil;
+
+    private volatile boolean hangs;
+    private volatile boolean fallen;
+    private volatile boolean refuses;
+    private volatile double slow = 1;
+    private volatile double errors;
+    private volatile long pauseEvery, pauseLeast, pauseMost;
+
+    private record Job(Peer peer, Relay relay, long came, int life) {}
+
+    /**
+     * @param marksOf the marks its group knows, by category; null for a category whose repeats are not dropped
+     */
+    public Target(String id, int shard, Nature nature, long seed, ScheduledExecutorService clockwork,
+            Function<String, Marks> marksOf, Tap tap, Witness witness) {
+        this.id = id;
+        this.shard = shard;
+        this.nature = nature;
+        this.clockwork = clockwork;
+        this.marksOf = marksOf;
+        this.tap = tap;
+        this.witness = witness;
+        chance = new SplittableRandom(seed);
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public int shard() {
+        return shard;
+    }
+
+    public Nature nature() {
+        return nature;
+    }
+
+    public synchronized int port() {
+        return port;
+    }
+
+    public synchronized boolean isUp() {
+        return up;
+    }
+
+    // ---- Its life ----
+
+    /** Starts it warm at a port; 0 takes a free one. */
+    public synchronized void startAt(int at) throws IOException {
+        port = at;
+        start(false);
+    }
+
+    /** Starts it, on the port it had before if it had one. @param fromCold whether it must warm up */
+    public synchronized void start(boolean fromCold) throws IOException {
+        wire = new Wire(id, 1, tap);
+        listener = wire.listen("127.0.0.1", port, Role.TARGET, this,
+                new Bounds(4 << 20, 16 << 20, 5_000_000, 0));
+        port = listener.port();
+        life++;
+        up = true;
+        cold = fromCold;
+        startedAt = Wire.micros();
+        fallen = false;
+        hangs = false;
+        coldUnits = 0;
+        coldSent.clear();
+        witness.note(id, Note.Kind.UP, cold ? "cold" : "warm", nature.capacity());
+        tick(life, this::doPutOff, nature.putOffEvery());
+        tick(life, this::pauseOfOwn, nature.pauseEvery());
+    }
+
+    private void tick(int ofLife, Runnable task, long every) {
+        if (every > 0) {
+            long in = (long) (every * (0.5 + chance.nextDouble()));
+            clockwork.schedule(() -> {
+                synchronized (this) {
+                    if (life != ofLife || !up) {
+                        return;
+                    }
+                    task.run();
+                    tick(ofLife, task, every);
+                }
+            }, in, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** Ends it as a kill would: its connections are reset and what it held is forgotten. */
+    public void kill() {
+        Wire old;
+        synchronized (this) {
+            if (!up) {
+                return;
+            }
+            up = false;
+            life++;
+            waiting.clear();
+            running.clear();
+            extents.clear();
+            peers.clear();
+            putOffWork = 0;
+            old = wire;
+        }
+        witness.note(id, Note.Kind.KILLED, "", 0);
+        old.abort();
+    }
+
+    // ---- Faults to order; each stays until it is taken back ----
+
+    /** Takes accesses and answers none. What it took meanwhile stays unanswered. */
+    public void hang(boolean on) {
+        hangs = on;
+        if (!on) {
+            synchronized (this) {
+                waiting.clear();
+                running.clear();
+            }
+        }
+    }
+
+    /** All work takes so many times as long. */
+    public void slow(double factor) {
+        slow = factor;
+    }
+
+    /** Quickly fails this part of what it gets; half of those were run. */
+    public void errors(double part) {
+        errors = part;
+    }
+
+    /** Stands still now and then; 0 ends it. Times are microseconds. */
+    public synchronized void pauses(long every, long least, long most) {
+        boolean was = pauseEvery > 0;
+        pauseEvery = every;
+        pauseLeast = least;
+        pauseMost = most;
+        if (every > 0 && !was) {
+            pauseToOrder(life);
+        }
+    }
+
+    private void pauseToOrder(int ofLife) {
+        clockwork.schedule(() -> {
+            synchronized (this) {
+                if (life == ofLife && pauseEvery > 0) {
+                    stand(chance.nextLong(pauseLeast, Math.max(pauseMost, pauseLeast + 1)));
+                    pauseToOrder(ofLife);
+                }
+            }
+        }, (long) (pauseEvery * (0.5 + chance.nextDouble())), TimeUnit.MICROSECONDS);
+    }
+
+    /** Resets all of its connections; what runs goes on, and its answers are lost. */
+    public void resetConnections() {
+        Set<Peer> now;
+        synchronized (this) {
+            now = new HashSet<>(peers);
+            peers.clear();
+        }
+        now.forEach(Peer::reset);
+    }
+
+    /** Accepts connections and says no hello: it cannot be reached, though its port is open. */
+    public void refuse(boolean on) {
+        refuses = on;
+    }
+
+    private void pauseOfOwn() {
+        stand(nature.pause());
+    }
+
+    private void stand(long micros) {
+        stillUntil = Math.max(stillUntil, Wire.micros() + micros);
+    }
+
+    private void doPutOff() {
+        long work = (long) (putOffWork / nature.speed() / nature.cores());
+        putOffWork = 0;
+        if (work > 0) {
+            stand(work);
+        }
+    }
+
+    // ---- Serving ----
+
+    @Override
+    public synchronized void ready(Peer peer) {
+        if (peers.size() >= nature.connections() || refuses) {
+            clockwork.execute(() -> peer.bye("no more connections"));
+            return;
+        }
+        peers.add(peer);
+    }
+
+    @Override
+    public void got(Peer peer, Frame frame) throws BadFrame {
+        switch (frame.getBodyCase()) {
+            case RELAY -> relay(peer, frame.getRelay());
+            case PROBE -> probe(peer, frame.getProbe().getNumber());
+            case CANCEL -> cancel(peer, frame.getCancel().getNumber());
+            default -> throw new BadFrame("a target takes relays, probes and cancels, not " + frame.getBodyCase());
+        }
+    }
+
+    @Override
+    public synchronized void closed(Peer peer, String why) {
+        peers.remove(peer);
+    }
+
+    private void relay(Peer peer, Relay relay) {
+        Outcome atOnce;
+        synchronized (this) {
+            atOnce = take(peer, relay);
+        }
+        if (atOnce != null) {
+            reply(peer, relay, atOnce);
+        }
+    }
+
+    /** The outcome where it is known at once; else null, and the access waits, runs, or is never heard of again. */
+    private Outcome take(Peer peer, Relay relay) {
+        long now = Wire.micros();
+        press(now, relay.getUnits());
+        if (hangs || fallen || !up) {
+            return null;
+        }
+        if (relay.hasShard() && relay.getShard() != shard) {
+            return Outcome.MOOT;
+        }
+        if (errors > 0 && chance.nextDouble() < errors) {
+            if (chance.nextBoolean()) {
+                effect(relay, now);
+            }
+            return Outcome.ERROR;
+        }
+        Job job = new Job(peer, relay, now, life);
+        if (running.size() < nature.cores()) {
+            begin(job, now);
+        } else if (waiting.size() < nature.room()) {
+            waiting.add(job);
+        } else {
+            return Outcome.FULL;
+        }
+        return null;
+    }
+
+    /** A cold target that is sent more than it bears, for as long as that takes, falls over and stays down. */
+    private void press(long now, double units) {
+        if (!cold || now > startedAt + nature.warm()) {
+            return;
+        }
+        coldSent.addLast(new long[] {now, Double.doubleToLongBits(units)});
+        coldUnits += units;
+        while (coldSent.peekFirst()[0] <= now - nature.fall()) {
+            coldUnits -= Double.longBitsToDouble(coldSent.removeFirst()[1]);
+        }
+        double bears = nature.tipMultiple() * nature.capacity() * warmth(now) * nature.fall() / 1e6;
+        if (nature.fall() > 0 && coldUnits > bears && !fallen) {
+            fallen = true;
+            witness.note(id, Note.Kind.FELL, "", coldUnits / bears);
+        }
+    }
+
+    private double warmth(long now) {
+        double age = nature.warm() == 0 ? 1 : Math.min(1, (now - startedAt) / (double) nature.warm());
+        return cold ? nature.coldShare() + (1 - nature.coldShare()) * age : 1;
+    }
+
+    private void begin(Job job, long now) {
+        Relay r = job.relay();
+        if (now > job.came() + r.getTimeLeft()) {
+            clockwork.execute(() -> reply(job.peer(), r, Outcome.MOOT)); // its time is up: it is not begun
+            return;
+        }
+        running.add(job);
+        if (!effect(r, now)) {
+            clockwork.schedule(() -> finish(job), 200, TimeUnit.MICROSECONDS);
+            return;
+        }
+        double work = r.getUnits() * nature.unit() * (0.5 + chance.nextDouble());
+        if (!r.getExtent().isEmpty() && r.getAttempt() == 0 && remembers(r.getExtent())) {
+            work *= 1 - nature.extentSaves();
+        }
+        if (r.getWrite()) {
+            putOffWork += work * nature.putOff();
+            work *= 1 - nature.putOff();
+        }
+        long takes = (long) (work * slow / nature.speed() / warmth(now));
+        clockwork.schedule(() -> finish(job), Math.max(takes, stillUntil - now + takes), TimeUnit.MICROSECONDS);
+    }
+
+    private boolean remembers(String extent) {
+        boolean known = extents.remove(extent);
+        extents.addLast(extent);
+        if (extents.size() > nature.extents()) {
+            extents.removeFirst();
+        }
+        return known;
+    }
+
+    /** Has the access's effect; false for a repeat that its mark gives away. */
+    private boolean effect(Relay r, long now) {
+        Marks marks = marksOf.apply(r.getCategory());
+        boolean first = marks == null || marks.first(r.getMark(), now);
+        witness.note(id, first ? Note.Kind.RAN : Note.Kind.DROPPED, r.getMark() + " " + r.getCategory(),
+                r.getAttempt());
+        return first;
+    }
+
+    private void finish(Job job) {
+        synchronized (this) {
+            long now = Wire.micros();
+            if (job.life() != life || hangs || fallen) {
+                return;
+            }
+            if (now < stillUntil) {
+                clockwork.schedule(() -> finish(job), stillUntil - now, TimeUnit.MICROSECONDS);
+                return;
+            }
+            if (!running.remove(job)) {
+                return;
+            }
+            while (running.size() < nature.cores() && !waiting.isEmpty()) {
+                begin(waiting.removeFirst(), now);
+            }
+        }
+        reply(job.peer(), job.relay(), Outcome.SUCCEEDED);
+    }
+
+    private void cancel(Peer peer, long number) {
+        if (nature.dropsCancelled()) {
+            synchronized (this) {
+                waiting.removeIf(j -> j.peer() == peer && j.relay().getNumber() == number);
+            }
+        }
+    }
+
+    private void probe(Peer peer, long number) {
+        if (!hangs && !fallen && up) {
+            Load load;
+            long in;
+            synchronized (this) {
+                load = load();
+                in = Math.max(0, stillUntil - Wire.micros());
+            }
+            Frame answer = Frame.newBuilder().setProbeReply(ProbeReply.newBuilder().setNumber(number).setLoad(load))
+                    .build();
+            clockwork.schedule(() -> peer.send(answer), in, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private Load load() {
+        return nature.tells() ? Load.newBuilder().setWaiting(waiting.size())
+                .setBusy(running.size() / (double) nature.cores()).build() : Load.getDefaultInstance();
+    }
+
+    private void reply(Peer peer, Relay relay, Outcome outcome) {
+        Reply.Builder reply = Reply.newBuilder().setNumber(relay.getNumber()).setOutcome(outcome);
+        synchronized (this) {
+            reply.setLoad(load());
+        }
+        if (outcome == Outcome.SUCCEEDED && !relay.getWrite()) {
+            reply.setPayload(ByteString.copyFrom(new byte[(int) Math.min(4096, 64 * relay.getUnits())]));
+        }
+        peer.send(Frame.newBuilder().setReply(reply).build());
+    }
+
+    /** What is there, for a look from outside. */
+    public synchronized Map<String, Integer> figures() {
+        return Map.of("waiting", waiting.size(), "running", running.size(), "connections", peers.size());
+    }
+}
--- a/wire/src/main/java/milletyoke/wire/Peer.java
+++ b/wire/src/main/java/milletyoke/wire/Peer.java
@@ -18,7 +18,7 @@
 import org.glassfish.grizzly.nio.NIOConnection;
 
 /** The other end of one connection. Any thread may send; the order of sends by one thread is kept. */
-public final class Peer {
+public final class Peer implements Line {
     /** The versions of the protocol that this build speaks. */
     static final int LOWEST = 1, HIGHEST = 1;
     private static final AtomicInteger NEXT = new AtomicInteger();
@@ -47,7 +47,7 @@
         partialSince = lastUse; // a hello is owed
     }
 
-    /** Unique in this process. */
+    @Override
     public int id() {
         return id;
     }
@@ -61,6 +61,7 @@
         return role;
     }
 
+    @Override
     public boolean isOpen() {
         return !closed.get() && connection.isOpen();
     }
@@ -78,10 +79,7 @@
         return waitingBytes.get();
     }
 
-    /**
-     * Hands a frame over without waiting. False where the connection is known to be closed, and then nothing of the
-     * frame was sent; true promises nothing.
-     */
+    @Override
     public boolean send(Frame frame) {
         if (!isOpen()) {
             return false;
@@ -115,13 +113,17 @@
         return true;
     }
 
-    /** Tells the peer why and closes; what waits to be sent may be lost. */
+    @Override
     public void bye(String why) {
-        send(Frame.newBuilder().setBye(Bye.newBuilder().setWhy(why)).build());
+        send(byeFrame(why));
         close(why);
     }
 
-    /** Closes at once; the handler is told, once. */
+    static Frame byeFrame(String why) {
+        return Frame.newBuilder().setBye(Bye.newBuilder().setWhy(why)).build();
+    }
+
+    @Override
     public void close(String why) {
         if (closed.compareAndSet(false, true)) {
             connection.closeSilently();
--- a/wire/src/main/java/milletyoke/wire/Wire.java
+++ b/wire/src/main/java/milletyoke/wire/Wire.java
@@ -24,6 +24,9 @@
 
 /** One participant's sockets: its listeners, its connections and the threads that serve them. */
 public final class Wire implements AutoCloseable {
+    /** What was handed over before a clean end has this long to be taken by its readers (microseconds). */
+    private static final long LAST_WRITES = 1_000_000;
+
     private final TCPNIOTransport transport;
     private final String name;
     private final Tap tap;
@@ -132,7 +135,12 @@
     public void close() {
         looks.shutdownNow();
         transport.unbindAll();
-        peers.forEach(p -> p.bye("shutting down"));
+        peers.forEach(p -> p.send(Peer.byeFrame("shutting down")));
+        long until = micros() + LAST_WRITES;
+        while (micros() < until && peers.stream().anyMatch(p -> p.isOpen() && p.waitingBytes() > 0)) {
+            java.util.concurrent.locks.LockSupport.parkNanos(1_000_000);
+        }
+        peers.forEach(p -> p.close("shutting down"));
         shutdown();
     }
 
--- /dev/null
+++ b/wire/src/main/java/milletyoke/wire/record/Recorder.java
@@ -0,0 +1,144 @@
+package milletyoke.wire.record;
+
+import com.google.protobuf.ByteString;
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import milletyoke.wire.Peer;
+import milletyoke.wire.Tap;
+import milletyoke.wire.Wire;
+import milletyoke.wire.proto.Direction;
+import milletyoke.wire.proto.Frame;
+import milletyoke.wire.proto.Note;
+import milletyoke.wire.proto.Record;
+
+/**
+ * Writes what the ends of connections saw to a file, in the order they told it; payloads are left out. Nothing is
+ * dropped: where the disk is slower than the sockets, those who tell wait.
+ */
+public final class Recorder implements AutoCloseable {
+    private static final Record END = Record.getDefaultInstance();
+
+    private final ArrayBlockingQueue<Record> queue = new ArrayBlockingQueue<>(1 << 16);
+    private final OutputStream out;
+    private final Thread writer;
+    private volatile IOException failed;
+
+    public Recorder(Path file) throws IOException {
+        out = new BufferedOutputStream(Files.newOutputStream(file), 1 << 18);
+        writer = new Thread(this::write, "recorder");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    /** What one participant's connections see is recorded under its name. */
+    public Tap tap(String witness) {
+        return (peer, direction, frame) -> saw(witness, peer, direction, frame);
+    }
+
+    private void saw(String witness, Peer peer, Direction direction, Frame frame) {
+        Record.Builder record = Record.newBuilder().setAt(Wire.micros()).setWitness(witness)
+                .setPeer(peer.name()).setConnection(peer.id()).setDirection(direction);
+        if (frame != null) {
+            record.setFrame(bare(frame));
+        }
+        put(record.build());
+    }
+
+    private static Frame bare(Frame frame) {
+        return switch (frame.getBodyCase()) {
+            case ACCESS -> frame.getAccess().getPayload().isEmpty() ? frame : frame.toBuilder()
+                    .setAccess(frame.getAccess().toBuilder().setPayload(ByteString.EMPTY)).build();
+            case RELAY -> frame.getRelay().getPayload().isEmpty() ? frame : frame.toBuilder()
+                    .setRelay(frame.getRelay().toBuilder().setPayload(ByteString.EMPTY)).build();
+            case ANSWER -> frame.getAnswer().getPayload().isEmpty() ? frame : frame.toBuilder()
+                    .setAnswer(frame.getAnswer().toBuilder().setPayload(ByteString.EMPTY)).build();
+            case REPLY -> frame.getReply().getPayload().isEmpty() ? frame : frame.toBuilder()
+                    .setReply(frame.getReply().toBuilder().setPayload(ByteString.EMPTY)).build();
+            default -> frame;
+        };
+    }
+
+    /** Records what was done to a part, or what it did on no connection. */
+    public void note(String witness, Note.Kind kind, String text, double figure) {
+        put(Record.newBuilder().setAt(Wire.micros()).setWitness(witness)
+                .setNote(Note.newBuilder().setKind(kind).setText(text).setFigure(figure)).build());
+    }
+
+    private void put(Record record) {
+        if (failed != null) {
+            return;
+        }
+        try {
+            queue.put(record);
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void write() {
+        try (out) {
+            for (Record record = queue.take(); record != END; record = queue.take()) {
+                record.writeDelimitedTo(out);
+            }
+        } catch (IOException cause) {
+            failed = cause;
+            queue.clear();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** @throws IOException where any record could not be written: the recording is of no use then */
+    @Override
+    public void close() throws IOException {
+        try {
+            while (failed == null && !queue.offer(END, 100, TimeUnit.MILLISECONDS)) {
+                continue;
+            }
+            writer.join(30_000);
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+        if (failed != null) {
+            throw failed;
+        }
+    }
+
+    /** Reads a recording. A record cut off at the end, as a kill leaves it, ends the reading without an error. */
+    public static void read(Path file, Consumer<Record> each) throws IOException {
+        try (InputStream in = new java.io.BufferedInputStream(Files.newInputStream(file), 1 << 18)) {
+            for (Record record = next(in, file); record != null; record = next(in, file)) {
+                each.accept(record);
+            }
+        } catch (UncheckedIOException inside) {
+            throw inside.getCause();
+        }
+    }
+
+    private static Record next(InputStream in, Path file) throws IOException {
+        try {
+            return Record.parseDelimitedFrom(in);
+        } catch (com.google.protobuf.InvalidProtocolBufferException bad) {
+            if (in.available() == 0) {
+                return null;
+            }
+            throw new IOException(file + ": not a recording, or damaged: " + bad.getMessage());
+        }
+    }
+
+    public static List<Record> readAll(Path file) throws IOException {
+        List<Record> all = new ArrayList<>();
+        read(file, all::add);
+        return all;
+    }
+}
