Every wake-up asked for comes; an access's time runs from its coming in

The loop kept only its nearest wake-up, and the decisions, which count on each that they asked for, were not called once traffic ended. Loop keeps all of them now. An access that waited for a loop held up has that much less time left.

--- a/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
@@ -13,6 +13,7 @@
 import milletyoke.wire.Line;
 import milletyoke.wire.Peer;
 import milletyoke.wire.PeerHandler;
+import milletyoke.wire.Wire;
 import milletyoke.wire.proto.Access;
 import milletyoke.wire.proto.Answer;
 import milletyoke.wire.proto.Final;
@@ -75,7 +76,7 @@
         } else if (places.getAndDecrement() <= 0) {
             places.getAndIncrement();
             reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE);
-        } else if (!loop.offer(new Told.Taken(peer, a))) {
+        } else if (!loop.offer(new Told.Taken(peer, a, Wire.micros()))) {
             places.getAndIncrement();
             reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE);
         }
--- a/gateway/src/main/java/milletyoke/gateway/loop/Ledger.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Ledger.java
@@ -17,6 +17,8 @@
 import milletyoke.wire.proto.Load;
 import milletyoke.wire.proto.Reason;
 import milletyoke.wire.proto.Relay;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The accesses held, between the sockets and the decisions: what happens becomes an event, an action becomes a frame.
@@ -26,6 +28,8 @@
  * <p>Owned by the loop; free of sockets and clocks.
  */
 final class Ledger implements Outcomes {
+    private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+
     /** How relays, cancels and probes leave. */
     interface Outlet {
         void relay(String target, String id, int attempt, long giveUpAt, Relay.Builder relay);
@@ -75,7 +79,13 @@
         events.add(event);
     }
 
-    void taken(long now, Line client, Access a) {
+    /**
+     * Guards the client's time against a loop that was held up: what waited in the queue has that much less left. It
+     * could harm nothing; without it, accesses that came during a standstill were answered late by its length.
+     *
+     * @param at when the access came in
+     */
+    void taken(long now, long at, Line client, Access a) {
         if (!client.isOpen()) {
             places.free(client); // gone while it waited in the queue: nobody is owed an answer
             return;
@@ -86,14 +96,14 @@
             client.bye("access number " + a.getNumber() + " is used twice");
             return;
         }
-        Entry e = new Entry(id, client, a, now + a.getTimeLeft() + answerSlack);
+        Entry e = new Entry(id, client, a, at + a.getTimeLeft() + answerSlack);
         entries.put(id, e);
         byClient.computeIfAbsent(client, c -> new LinkedHashMap<>()).put(a.getNumber(), e);
         byLastCall.add(e);
         unanswered++;
         counts.add(Count.ACCESSES);
         events.add(new Event.Access(id, a.hasShard() ? a.getShard() : -1, a.getExtent().isEmpty() ? null
-                : a.getExtent(), a.getVolume(), a.getTimeLeft(), a.getPlan(), a.getCategory(),
+                : a.getExtent(), a.getVolume(), Math.max(0, a.getTimeLeft() - (now - at)), a.getPlan(), a.getCategory(),
                 Math.max(1, a.getHosts()), a.getUnits()));
     }
 
@@ -165,6 +175,8 @@
             Entry e = byLastCall.poll();
             if (!e.answered) {
                 counts.add(Count.OVERDUE);
+                LOG.error("no answer was decided for access {} of {} in its time: {} relays, {}", e.id,
+                        e.access.getVolume(), e.relays, e.out ? "one out" : "none out");
                 over(e);
             }
         }
--- a/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
@@ -1,6 +1,7 @@
 package milletyoke.gateway.loop;
 
 import java.util.List;
+import java.util.PriorityQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -61,8 +62,14 @@
     private volatile boolean killed;
     private volatile Throwable fault;
     private boolean leaving;
-    private long alarmAt = Long.MAX_VALUE;
+    /**
+     * Every wake-up that was asked for and has not come. Guards against losing one: the decisions may ask for a later
+     * one while an earlier is still due, and would not ask again. One kept time let accesses wait for ever once
+     * traffic ended.
+     */
+    private final PriorityQueue<Long> alarms = new PriorityQueue<>();
     private long overdueAt;
+    private long turnAt;
 
     /** @param clock microseconds, never going back */
     public Loop(Setup setup, Surroundings around, LongSupplier clock, Counts counts) {
@@ -110,7 +117,7 @@
 
         @Override
         public void wake(long in) {
-            alarmAt = Math.min(alarmAt, clock.getAsLong() + in);
+            alarms.add(turnAt + in);
         }
 
         @Override
@@ -211,8 +218,10 @@
             overdueAt = now + LONGEST_SLEEP;
             ledger.endOverdue(now);
         }
-        if (now >= alarmAt) {
-            alarmAt = Long.MAX_VALUE;
+        if (nextAlarm() <= now) {
+            while (nextAlarm() <= now) {
+                alarms.poll();
+            }
             ledger.happened(new Event.Alarm());
         }
         if (ledger.hasEvents()) {
@@ -222,6 +231,10 @@
         }
     }
 
+    private long nextAlarm() {
+        return alarms.isEmpty() ? Long.MAX_VALUE : alarms.peek();
+    }
+
     private Told next() {
         Told told = own.poll();
         return told != null ? told : queue.poll();
@@ -229,13 +242,14 @@
 
     private void decide(long now) {
         counts.add(Count.TURNS);
+        turnAt = now;
         List<Action> actions = decide.decide(now, ledger.drain());
         ledger.carryOut(now, actions);
         turnTimes.recordValue(Math.min(60_000_000, clock.getAsLong() - now));
     }
 
     private void sleep(long now) {
-        long until = Math.min(Math.min(alarmAt, links.nextDue()), now + LONGEST_SLEEP);
+        long until = Math.min(Math.min(nextAlarm(), links.nextDue()), now + LONGEST_SLEEP);
         parked = true;
         if (queue.isEmpty() && own.isEmpty() && !killed && until > now) {
             LockSupport.parkNanos(this, (until - now) * 1000);
@@ -246,7 +260,7 @@
     private void learn(Told told) {
         long now = clock.getAsLong();
         if (told instanceof Told.Taken t) {
-            ledger.taken(now, t.client(), t.access());
+            ledger.taken(now, t.at(), t.client(), t.access());
         } else if (told instanceof Told.Left t) {
             ledger.left(t.client(), t.number());
         } else if (told instanceof Told.ClientGone t) {
--- a/gateway/src/main/java/milletyoke/gateway/loop/Told.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Told.java
@@ -8,7 +8,8 @@
 
 /** What other threads tell the loop, in the order in which each of them tells it. */
 public sealed interface Told {
-    record Taken(Line client, Access access) implements Told {}
+    /** @param at when it came in, on the loop's clock: its time runs from then, however long it waits for the loop */
+    record Taken(Line client, Access access, long at) implements Told {}
 
     /** The client no longer waits for one access. */
     record Left(Line client, long number) implements Told {}
