--- a/gateway/src/main/java/milletyoke/gateway/loop/Ledger.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Ledger.java
@@ -80,8 +80,9 @@
     }
 
     /**
-     * Guards the client's time against a loop that was held up: what waited in the queue has that much less left. It
-     * could harm nothing; without it, accesses that came during a standstill were answered late by its length.
+     * Guards the client's time against a loop that was held up: what waited in the queue has that much less left,
+     * and what has none left is told at once that it never ran. Without it, accesses that came during a standstill
+     * were answered late by its length. Could do no harm.
      *
      * @param at when the access came in
      */
@@ -90,6 +91,13 @@
             places.free(client); // gone while it waited in the queue: nobody is owed an answer
             return;
         }
+        if (now >= at + a.getTimeLeft()) {
+            places.free(client);
+            counts.add(Count.EXPIRED);
+            client.send(Frame.newBuilder().setAnswer(Answer.newBuilder().setNumber(a.getNumber())
+                    .setFinal(Final.REJECTED).setReason(Reason.EXPIRED)).build());
+            return;
+        }
         String id = client.id() + "-" + a.getNumber();
         if (entries.containsKey(id)) {
             places.free(client);
@@ -102,9 +110,10 @@
         byLastCall.add(e);
         unanswered++;
         counts.add(Count.ACCESSES);
+        long timeLeft = a.getTimeLeft() - (now - at);
         events.add(new Event.Access(id, a.hasShard() ? a.getShard() : -1, a.getExtent().isEmpty() ? null
-                : a.getExtent(), a.getVolume(), Math.max(0, a.getTimeLeft() - (now - at)), a.getPlan(), a.getCategory(),
-                Math.max(1, a.getHosts()), a.getUnits()));
+                : a.getExtent(), a.getVolume(), timeLeft, a.getPlan(), a.getCategory(), Math.max(1, a.getHosts()),
+                a.getUnits()));
     }
 
     void left(Line client, long number) {
--- a/wire/src/main/java/milletyoke/wire/Peer.java
+++ b/wire/src/main/java/milletyoke/wire/Peer.java
@@ -21,6 +21,8 @@
 public final class Peer implements Line {
     /** The versions of the protocol that this build speaks. */
     static final int LOWEST = 1, HIGHEST = 1;
+    /** What a frame that waits costs beside its bytes: a million tiny ones are no small thing. */
+    private static final int EACH = 256;
     private static final AtomicInteger NEXT = new AtomicInteger();
 
     private final int id = NEXT.incrementAndGet();
@@ -84,9 +86,10 @@
         if (!isOpen()) {
             return false;
         }
-        int size = frame.getSerializedSize();
-        if (size > bounds.frameBytes()) {
-            throw new IllegalArgumentException("a frame of " + size + " bytes, " + bounds.frameBytes()
+        int body = frame.getSerializedSize();
+        int size = body + EACH;
+        if (body > bounds.frameBytes()) {
+            throw new IllegalArgumentException("a frame of " + body + " bytes, " + bounds.frameBytes()
                     + " are the most on this connection");
         }
         if (waitingBytes.addAndGet(size) > bounds.waitingBytes()) {
