--- /dev/null
+++ b/rehearsal/src/test/java/milletyoke/rehearsal/DaysTest.java
@@ -0,0 +1,36 @@
+package milletyoke.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import milletyoke.rehearsal.audit.Audit;
+import milletyoke.rehearsal.script.Script;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Some of the bad days on sockets, in full; the others are played by hand with `bin/milletyoke rehearse`. */
+@Timeout(120)
+class DaysTest {
+    @ParameterizedTest
+    @ValueSource(strings = {"overlap-hang-restart-kill", "overlap-list-roll-burst", "overlap-resets-errors-still",
+        "list-unavailable", "give-up", "leave"})
+    void keepsEveryRule(String name) throws Exception {
+        Path recording = Files.createTempFile("milletyoke-day", ".recording");
+        try {
+            Stage.Played played;
+            try (Stage stage = new Stage(Script.read(Path.of("days", name + ".day")), recording, false)) {
+                played = stage.play(line -> { });
+            }
+            Audit.Report report = Audit.of(recording);
+            assertTrue(report.clean(), () -> report.text(true));
+            assertTrue(report.rule(1).tested() > 1000, "hardly anything was asked");
+            assertEquals(0, played.unfinished());
+            assertTrue(played.leftClean());
+        } finally {
+            Files.delete(recording);
+        }
+    }
+}
