Peers closed for what they did are counted and logged; Links tested in random orders

The issue asks for a logged reason and a count where a peer misbehaves; only unexpected frames from targets were counted. Links has a truth table of outcomes and 8 times 20,000 random steps without sockets: each relay ends once, and none that was on a line is told never to have been.

--- a/gateway/src/main/java/milletyoke/gateway/Initiator.java
+++ b/gateway/src/main/java/milletyoke/gateway/Initiator.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import milletyoke.gateway.discovery.LastList;
 import milletyoke.gateway.discovery.Subscription;
+import milletyoke.gateway.ingress.Faults;
 import milletyoke.gateway.ingress.Ingress;
 import milletyoke.gateway.loop.Count;
 import milletyoke.gateway.loop.Counts;
@@ -36,6 +37,7 @@
     private final AtomicInteger places;
     private final Wire wire;
     private final Loop loop;
+    private final Faults faults;
     private final Ingress ingress;
     private final Wire.Listener listener;
     private final LastList lastList;
@@ -56,7 +58,8 @@
             return thread;
         });
         loop = new Loop(setup, this, Wire::micros, counts);
-        ingress = new Ingress(setup, loop, counts, places);
+        faults = new Faults(counts, Wire::micros);
+        ingress = new Ingress(setup, loop, counts, places, faults);
         subscription = new Subscription(setup, wire, loop, side, seed());
         try {
             listener = wire.listen(setup.listen().host(), setup.listen().port(), Role.INITIATOR, ingress,
@@ -191,16 +194,14 @@
                 case REPLY -> loop.tell(new Told.Replied(peer, frame.getReply()));
                 case PROBE_REPLY -> loop.tell(new Told.ProbeReplied(peer, frame.getProbeReply().getNumber(),
                         frame.getProbeReply().getLoad()));
-                default -> {
-                    counts.add(Count.MALFORMED_PEERS);
-                    throw new BadFrame("a target sends replies, not " + frame.getBodyCase());
-                }
+                default -> throw new BadFrame("a target sends replies, not " + frame.getBodyCase());
             }
         }
 
         @Override
         public void closed(Peer peer, String why) {
             LOG.debug("link to {} is gone: {}", target, why);
+            faults.closed("target " + target, peer);
             loop.tell(ready ? new Told.LinkLost(target, peer, why) : new Told.DialFailed(target, dial, why));
         }
     }
--- a/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
@@ -36,10 +36,12 @@
     private final Set<String> categories;
     private final Set<String> plans;
     private final AtomicInteger places;
+    private final Faults faults;
     private volatile boolean leaving;
 
     /** @param places how many accesses may still be taken; given back as they end */
-    public Ingress(Setup setup, Loop loop, Counts counts, AtomicInteger places) {
+    public Ingress(Setup setup, Loop loop, Counts counts, AtomicInteger places, Faults faults) {
+        this.faults = faults;
         this.setup = setup;
         this.loop = loop;
         this.counts = counts;
@@ -101,6 +103,7 @@
     @Override
     public void closed(Peer peer, String why) {
         LOG.debug("client {} is gone: {}", peer, why);
+        faults.closed("client", peer);
         loop.tell(new Told.ClientGone((Line) peer));
     }
 }
--- /dev/null
+++ b/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
@@ -0,0 +1,279 @@
+package milletyoke.gateway.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import milletyoke.gateway.loop.Counts;
+import milletyoke.gateway.setup.Address;
+import milletyoke.gateway.setup.Setup.Transport;
+import milletyoke.port.Outcome;
+import milletyoke.wire.Line;
+import milletyoke.wire.proto.Frame;
+import milletyoke.wire.proto.Load;
+import milletyoke.wire.proto.Relay;
+import milletyoke.wire.proto.Reply;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Each relay gets the one outcome that is true of it, whatever the connections do; no sockets and no clock. */
+class LinksTest implements Outcomes, Dialler {
+    private static final long CONNECT = 1000, IDLE = 100_000, PROBE = 5000;
+
+    private final Map<String, Outcome> ended = new LinkedHashMap<>();
+    private final List<String> probes = new ArrayList<>();
+    private final Map<Long, String> dials = new LinkedHashMap<>();
+    private final List<Fake> lines = new ArrayList<>();
+    private final Links links = new Links(new Transport(CONNECT, IDLE, 2, 3, PROBE, 1 << 20, 1 << 20, 1, 1), this, this,
+            new Counts());
+
+    /** A connection that keeps what was sent on it. */
+    private static final class Fake implements Line {
+        final int id;
+        final String target;
+        final List<Frame> sent = new ArrayList<>();
+        boolean open = true;
+        boolean refuses;
+
+        Fake(int id, String target) {
+            this.id = id;
+            this.target = target;
+        }
+
+        @Override
+        public int id() {
+            return id;
+        }
+
+        @Override
+        public boolean isOpen() {
+            return open;
+        }
+
+        @Override
+        public boolean send(Frame frame) {
+            if (open && !refuses) {
+                sent.add(frame);
+            }
+            return open && !refuses;
+        }
+
+        @Override
+        public void bye(String why) {
+            open = false;
+        }
+
+        @Override
+        public void close(String why) {
+            open = false;
+        }
+    }
+
+    @Override
+    public Dial dial(String target, Address address, long dial) {
+        dials.put(dial, target);
+        return () -> { };
+    }
+
+    @Override
+    public void relayEnded(String id, int attempt, Outcome outcome, long lag, Load load, ByteString payload) {
+        Outcome before = ended.put(id, outcome);
+        assertEquals(null, before, id + " ended twice");
+    }
+
+    @Override
+    public void probeEnded(String target, Outcome outcome, long lag, double waiting) {
+        probes.add(target + " " + outcome + " " + waiting);
+    }
+
+    private Fake up(long now, long dial) {
+        Fake line = new Fake(lines.size(), dials.remove(dial));
+        lines.add(line);
+        links.dialled(now, line.target, dial, line);
+        return line;
+    }
+
+    private long lastDial() {
+        return dials.keySet().stream().reduce((a, b) -> b).orElseThrow();
+    }
+
+    private void relay(long now, String id) {
+        links.relay(now, "a", id, 0, now + 10_000, Relay.newBuilder().setId(id));
+    }
+
+    private void reply(long now, Fake line, int sent, milletyoke.wire.proto.Outcome outcome) {
+        links.replied(now, line, Reply.newBuilder().setNumber(line.sent.get(sent).getRelay().getNumber())
+                .setOutcome(outcome).build());
+    }
+
+    @Test
+    void toATargetThatWasNeverListedNothingCanBeSent() {
+        relay(0, "r");
+        assertEquals(Map.of("r", Outcome.NO_CONNECTION), ended);
+    }
+
+    @Test
+    void whatWaitsForAConnectionIsSentOnceThereIsOne() {
+        links.listed("a", new Address("h", 1));
+        relay(0, "r");
+        Fake line = up(10, lastDial());
+        reply(20, line, 0, milletyoke.wire.proto.Outcome.SUCCEEDED);
+        assertEquals(Map.of("r", Outcome.SUCCEEDED), ended);
+    }
+
+    @Test
+    void connectTimeOutIsNoConnectionAndALateConnectionIsClosed() {
+        links.listed("a", new Address("h", 1));
+        relay(0, "r");
+        long dial = lastDial();
+        links.look(CONNECT - 1);
+        assertEquals(Map.of(), ended);
+        links.look(CONNECT);
+        assertEquals(Map.of("r", Outcome.NO_CONNECTION), ended);
+        links.look(CONNECT * 300);
+        assertTrue(!up(CONNECT * 300, dial).open, "it came too late");
+    }
+
+    @Test
+    void timeUpBeforeItCouldBeSentIsMootAndAfterwardsTimedOut() {
+        links.listed("a", new Address("h", 1));
+        links.relay(0, "a", "moot", 0, 500, Relay.newBuilder());
+        links.look(500);
+        relay(600, "late");
+        Fake line = up(700, lastDial());
+        links.look(10_600);
+        reply(10_700, line, 0, milletyoke.wire.proto.Outcome.SUCCEEDED);
+        assertEquals(Map.of("moot", Outcome.MOOT, "late", Outcome.TIMED_OUT), ended);
+    }
+
+    @Test
+    void cancelIsMootBeforeSendingAndCancelledAfter() {
+        links.listed("a", new Address("h", 1));
+        relay(0, "unsent");
+        links.cancel(1, "unsent", 0);
+        relay(2, "sent");
+        Fake line = up(10, lastDial());
+        links.cancel(20, "sent", 0);
+        assertEquals(Map.of("unsent", Outcome.MOOT, "sent", Outcome.CANCELLED), ended);
+        assertTrue(line.sent.get(1).hasCancel());
+        assertEquals(1, line.sent.stream().filter(Frame::hasRelay).count(), "what was cancelled is never sent");
+    }
+
+    @Test
+    void closedConnectionResetsWhatWasSentAndOnlyThat() {
+        links.listed("a", new Address("h", 1));
+        relay(0, "sent");
+        Fake line = up(10, lastDial());
+        line.refuses = true; // known to be closed, though nobody was told yet
+        relay(11, "unsent");
+        links.lost(20, "a", line);
+        assertEquals(Map.of("sent", Outcome.RESET), ended);
+        up(30, lastDial());
+        assertEquals("unsent", lines.get(1).sent.get(0).getRelay().getId());
+    }
+
+    @Test
+    void connectionsAndStreamsAreBounded() {
+        links.listed("a", new Address("h", 1));
+        for (int i = 0; i < 3; i++) {
+            relay(0, "r" + i);
+        }
+        Fake first = up(1, 1);
+        Fake second = up(1, 2);
+        for (int i = 3; i < 8; i++) {
+            relay(2, "r" + i);
+        }
+        assertEquals(3, first.sent.size());
+        assertEquals(3, second.sent.size());
+        assertEquals(Map.of("r6", Outcome.NO_CONNECTION, "r7", Outcome.NO_CONNECTION), ended);
+        assertEquals(0, dials.size(), "two connections are the most");
+    }
+
+    @Test
+    void idleConnectionsAreClosedAndBusyOnesAreNot() {
+        links.listed("a", new Address("h", 1));
+        relay(0, "r");
+        Fake line = up(1, lastDial());
+        links.relay(2, "a", "long", 0, 10 * IDLE, Relay.newBuilder());
+        reply(3, line, 0, milletyoke.wire.proto.Outcome.SUCCEEDED);
+        links.look(2 * IDLE);
+        assertTrue(line.open);
+        reply(2 * IDLE + 1, line, 1, milletyoke.wire.proto.Outcome.SUCCEEDED);
+        links.look(5 * IDLE);
+        assertTrue(!line.open);
+    }
+
+    @Test
+    void probesEndWithWhatTheyFound() {
+        links.listed("a", new Address("h", 1));
+        links.probe(0, "a");
+        Fake line = up(1, lastDial());
+        links.probeReplied(5, line, line.sent.get(0).getProbe().getNumber(), Load.newBuilder().setWaiting(7).build());
+        links.probe(10, "a");
+        links.look(10 + PROBE);
+        links.probe(20_000, "b");
+        assertEquals(List.of("a SUCCEEDED 7.0", "a TIMED_OUT -1.0", "b NO_CONNECTION -1.0"), probes);
+    }
+
+    /** Random orders of everything: each relay ends once, and what was never on a line is never told to have been. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
+    void everyRelayEndsOnce(int seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        Map<String, Integer> ordered = new HashMap<>();
+        long now = 0;
+        links.listed("a", new Address("h", 1));
+        for (int step = 0; step < 20_000; step++) {
+            now += chance.nextInt(200);
+            Fake line = lines.isEmpty() ? null : lines.get(lines.size() - 1 - chance.nextInt(Math.min(3, lines.size())));
+            switch (chance.nextInt(9)) {
+                case 0, 1, 2 -> {
+                    String id = "r" + step;
+                    ordered.put(id, step);
+                    links.relay(now, "a", id, 0, now + 1 + chance.nextInt(4000), Relay.newBuilder().setId(id));
+                }
+                case 3 -> {
+                    if (!dials.isEmpty()) {
+                        up(now, lastDial());
+                    }
+                }
+                case 4 -> {
+                    if (!dials.isEmpty()) {
+                        long dial = lastDial();
+                        links.dialFailed(now, dials.remove(dial), dial, "refused");
+                    }
+                }
+                case 5, 6 -> {
+                    if (line != null && line.open && !line.sent.isEmpty()) {
+                        Frame frame = line.sent.get(line.sent.size() - 1 - chance.nextInt(Math.min(4, line.sent.size())));
+                        links.replied(now, line, Reply.newBuilder().setNumber(frame.getRelay().getNumber())
+                                .setOutcomeValue(1 + chance.nextInt(8)).build());
+                    }
+                }
+                case 7 -> {
+                    if (line != null && chance.nextInt(4) == 0) {
+                        line.open = false;
+                        links.lost(now, "a", line);
+                    }
+                }
+                default -> links.look(now);
+            }
+            assertTrue(lines.stream().filter(l -> l.open).count() <= 2, "two connections are the most");
+        }
+        links.look(now + 1_000_000);
+        assertEquals(ordered.keySet(), ended.keySet());
+        for (Fake line : lines) {
+            for (Frame frame : line.sent) {
+                Outcome told = frame.hasRelay() ? ended.get(frame.getRelay().getId()) : null;
+                assertTrue(told != Outcome.NO_CONNECTION, "it was on a line");
+            }
+        }
+    }
+}
--- a/wire/src/main/java/milletyoke/wire/FrameFilter.java
+++ b/wire/src/main/java/milletyoke/wire/FrameFilter.java
@@ -24,7 +24,7 @@
         }
         int length = bytes.getInt(bytes.position());
         if (length < 0 || length > peer.frameBytes()) {
-            peer.bye("a frame of " + Integer.toUnsignedString(length) + " bytes is announced, " + peer.frameBytes()
+            peer.blame("a frame of " + Integer.toUnsignedString(length) + " bytes is announced, " + peer.frameBytes()
                     + " are the most");
             bytes.tryDispose();
             return ctx.getStopAction();
@@ -43,7 +43,7 @@
         try {
             ctx.setMessage(Frame.parseFrom(body));
         } catch (InvalidProtocolBufferException bad) {
-            peer.bye("a frame that cannot be read: " + bad.getMessage());
+            peer.blame("a frame that cannot be read: " + bad.getMessage());
             return ctx.getStopAction();
         }
         return ctx.getInvokeAction(rest);
--- a/wire/src/main/java/milletyoke/wire/Peer.java
+++ b/wire/src/main/java/milletyoke/wire/Peer.java
@@ -37,7 +37,7 @@
     private volatile boolean greeted;
     private volatile long lastUse;
     private volatile long partialSince;
-    private volatile Object attachment;
+    private volatile String fault;
 
     @SuppressWarnings("unchecked") // a TCP connection's addresses are socket addresses
     Peer(Connection<?> connection, PeerHandler handler, Bounds bounds, Tap tap) {
@@ -68,12 +68,15 @@
         return !closed.get() && connection.isOpen();
     }
 
-    public Object attachment() {
-        return attachment;
+    /** What this peer did that its connection was closed for; null where it did nothing wrong. */
+    public String fault() {
+        return fault;
     }
 
-    public void attach(Object value) {
-        attachment = value;
+    /** Tells the peer what it did wrong and closes. */
+    void blame(String what) {
+        fault = what;
+        bye(what);
     }
 
     /** Bytes handed over that the peer's side has not taken yet. */
@@ -96,7 +99,8 @@
             waitingBytes.addAndGet(-size);
             // Guards the memory of this process against a peer that asks and does not read. Could harm a peer that
             // stands still for long with much on its way to it; it may connect again.
-            close("reads too slowly: " + bounds.waitingBytes() + " bytes wait for it");
+            fault = "reads too slowly: over " + bounds.waitingBytes() + " bytes wait for it";
+            close(fault);
             return false;
         }
         lastUse = Wire.micros();
@@ -172,7 +176,7 @@
                 handler.got(this, frame);
             }
         } catch (BadFrame bad) {
-            bye(bad.getMessage());
+            blame(bad.getMessage());
         }
     }
 
@@ -205,7 +209,7 @@
     /** Closes what has been idle, or half received, for too long. */
     void look(long now) {
         if (partialSince > 0 && now - partialSince > bounds.partialMicros()) {
-            bye((greeted ? "half a frame" : "no hello") + " for " + bounds.partialMicros() / 1000 + " ms");
+            blame((greeted ? "half a frame" : "no hello") + " for " + bounds.partialMicros() / 1000 + " ms");
         } else if (bounds.idleMicros() > 0 && now - lastUse > bounds.idleMicros()) {
             bye("idle for " + bounds.idleMicros() / 1000 + " ms");
         }
