Daemon with console: lifecycle, admission, pictures of the loop, a console served by itself

The loop makes an immutable picture every 250 ms, with volumes in a persistent map and at most 256 of them renewed each time; accounts keep 900 seconds. The console is data first: page, JSON and stream are made of one view, in which what a tenant may not see is left out.

Model-based tests of admission and lifecycle pass (300 and 500 random orders).

--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -64,17 +64,17 @@
     private long resumedAt;
 
     private final Map<String, Integer> indexOf = new HashMap<>();
-    private final Targets targets = new Targets();
+    final Targets targets = new Targets();
 
     private long askAt = Long.MAX_VALUE, askWait = FIRST_ASK;
 
-    private final Map<Integer, Node> nodes = new LinkedHashMap<>();
+    final Map<Integer, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Held> held = new LinkedHashMap<>();
-    private final Map<String, Store> limits = new HashMap<>(), reserves = new HashMap<>();
+    final Map<String, Store> limits = new HashMap<>(), reserves = new HashMap<>();
     private final Map<String, Turns> turns = new HashMap<>();
     private final Map<String, Long> longestTtl = new HashMap<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>(), further = new ArrayDeque<>();
-    private double furtherSuccess = 1, lateShare;
+    double furtherSuccess = 1, lateShare;
     /** What an access takes at a target where no other waits. */
     private double aloneLag;
     /** Probes have told of waiting, so they do not merely show that the target runs. */
@@ -300,7 +300,7 @@
         return suspect && targets.askedAt[t] > 0;
     }
 
-    private boolean isTold(int t) {
+    boolean isTold(int t) {
         return t >= 0 && now < targets.toldUntil[t];
     }
 
@@ -480,7 +480,7 @@
                 || h.category.repeats() == Repeats.STAMPED && now < h.ranSince + h.category.repeatWindow();
     }
 
-    private boolean isCold(int t) {
+    boolean isCold(int t) {
         return bounds.fall() > 0 && targets.launched[t] > 0 && now < targets.launched[t] + bounds.cold();
     }
 
--- /dev/null
+++ b/core/src/main/java/milletyoke/Look.java
@@ -0,0 +1,82 @@
+package milletyoke;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Reads what {@link Decide} believes, for people; decides nothing and changes nothing. To be called by the thread that
+ * owns the module, between two of its turns. Times are microseconds.
+ */
+public final class Look {
+    private Look() {
+    }
+
+    /**
+     * What is believed of one target.
+     *
+     * @param usable it may be sent to, as the list has it
+     * @param launched when it started, 0 for long ago
+     * @param out relays out
+     * @param lag of its answers, smoothed; 0 for unknown
+     * @param silentSince owes answers and gave none: the next trial's time, 0 where it is not silent
+     * @param resting what does not fit is kept back from it for now
+     * @param crowd what is said to wait there, as time; meaningful while {@code told}
+     */
+    public record TargetLook(String id, String zone, int shard, boolean usable, long launched, boolean cold, int out,
+            double window, double lag, long silentSince, boolean resting, boolean told, double crowd) {}
+
+    /** One shard: the target that holds it (null for none), accesses waiting here for it, and of how many volumes. */
+    public record NodeLook(int shard, String target, int waiting, int volumes) {}
+
+    /**
+     * What is left of one volume's stores, as of their last use.
+     *
+     * @param limit units left of this host's part of its limit, -1 where it has none
+     * @param reserve units owed of its reserve
+     * @param waiting accesses waiting here, at all shards
+     */
+    public record VolumeLook(double limit, double reserve, int waiting) {}
+
+    public static List<TargetLook> targets(Decide d) {
+        List<TargetLook> all = new ArrayList<>(d.targets.count);
+        for (int t = 0; t < d.targets.count; t++) {
+            var x = d.targets;
+            all.add(new TargetLook(x.id[t], x.zone[t], x.shardOf[t], x.usable[t], x.launched[t], d.isCold(t), x.out[t],
+                    x.window[t], x.lag[t], x.nextTrial[t], d.isTold(t) && x.rest[t] > 0, d.isTold(t), x.crowd[t]));
+        }
+        return all;
+    }
+
+    public static List<NodeLook> nodes(Decide d) {
+        List<NodeLook> all = new ArrayList<>(d.nodes.size());
+        for (Map.Entry<Integer, State.Node> entry : d.nodes.entrySet()) {
+            State.Node n = entry.getValue();
+            int volumes = n.waiting == 0 ? 0
+                    : (int) n.reservations.values().stream().filter(r -> !r.queue.isEmpty()).count();
+            all.add(new NodeLook(entry.getKey(), n.target < 0 ? null : d.targets.id[n.target], n.waiting, volumes));
+        }
+        return all;
+    }
+
+    public static VolumeLook volume(Decide d, String volume) {
+        State.Store limit = d.limits.get(volume);
+        State.Store reserve = d.reserves.get(volume);
+        int waiting = 0;
+        for (State.Node n : d.nodes.values()) {
+            State.Reservation r = n.waiting == 0 ? null : n.reservations.get(volume);
+            waiting += r == null ? 0 : r.queue.size();
+        }
+        return new VolumeLook(limit == null ? -1 : limit.units, reserve == null ? 0 : reserve.units, waiting);
+    }
+
+    /** The part of answers, of late, that told of long queues. */
+    public static double lateShare(Decide d) {
+        return d.lateShare;
+    }
+
+    /** The part of further relays, of late, that succeeded. */
+    public static double furtherSuccess(Decide d) {
+        return d.furtherSuccess;
+    }
+}
--- a/gateway/src/main/java/milletyoke/gateway/Initiator.java
+++ b/gateway/src/main/java/milletyoke/gateway/Initiator.java
@@ -4,10 +4,12 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.atomic.AtomicInteger;
+import milletyoke.admission.Admission;
+import milletyoke.gateway.console.Console;
 import milletyoke.gateway.discovery.LastList;
 import milletyoke.gateway.discovery.Subscription;
 import milletyoke.gateway.ingress.Faults;
+import milletyoke.gateway.ingress.Gate;
 import milletyoke.gateway.ingress.Ingress;
 import milletyoke.gateway.loop.Count;
 import milletyoke.gateway.loop.Counts;
@@ -15,6 +17,7 @@
 import milletyoke.gateway.loop.Told;
 import milletyoke.gateway.setup.Address;
 import milletyoke.gateway.setup.Setup;
+import milletyoke.gateway.setup.SetupError;
 import milletyoke.wire.BadFrame;
 import milletyoke.wire.Bounds;
 import milletyoke.wire.Line;
@@ -22,6 +25,7 @@
 import milletyoke.wire.PeerHandler;
 import milletyoke.wire.Tap;
 import milletyoke.wire.Wire;
+import milletyoke.wire.proto.Access;
 import milletyoke.wire.proto.Frame;
 import milletyoke.wire.proto.Role;
 import milletyoke.wire.proto.TargetList;
@@ -34,7 +38,7 @@
 
     private final Setup setup;
     private final Counts counts = new Counts();
-    private final AtomicInteger places;
+    private final Gate gate;
     private final Wire wire;
     private final Loop loop;
     private final Faults faults;
@@ -44,10 +48,13 @@
     private final Subscription subscription;
     private final ScheduledExecutorService side;
     private final Bounds toTargets;
+    private Console console;
 
     private Initiator(Setup setup, Tap tap) throws IOException {
         this.setup = setup;
-        places = new AtomicInteger(setup.room().held());
+        Setup.Room r = setup.room();
+        gate = new Gate(new Admission.Room(r.held(), r.bytes(), r.connectionPart(), r.greed(),
+                setup.deployment().provisioning().allowances().longestAdvice()));
         lastList = setup.folder() == null ? null : new LastList(setup.folder());
         Setup.Transport t = setup.transport();
         toTargets = new Bounds(t.frameBytes(), t.waitingBytes(), t.partialTime(), 0);
@@ -59,7 +66,7 @@
         });
         loop = new Loop(setup, this, Wire::micros, counts);
         faults = new Faults(counts, Wire::micros);
-        ingress = new Ingress(setup, loop, counts, places, faults);
+        ingress = new Ingress(setup, loop, counts, gate, faults);
         subscription = new Subscription(setup, wire, loop, side, seed());
         try {
             listener = wire.listen(setup.listen().host(), setup.listen().port(), Role.INITIATOR, ingress,
@@ -74,12 +81,21 @@
     /**
      * Starts one.
      *
-     * @throws IOException where its address or its folder cannot be had; nothing is left running
+     * @throws IOException where an address or its folder cannot be had; nothing is left running
+     * @throws SetupError where the console's tokens cannot be used; nothing is left running
      */
-    public static Initiator start(Setup setup, Tap tap) throws IOException {
+    public static Initiator start(Setup setup, Tap tap) throws IOException, SetupError {
         Initiator made = new Initiator(setup, tap);
         TargetList restored = made.lastList == null ? null : made.lastList.load();
         made.loop.start(seed(), restored);
+        if (setup.console() != null) {
+            try {
+                made.console = new Console(setup.console(), setup, made.loop);
+            } catch (IOException | SetupError unusable) {
+                made.kill();
+                throw unusable;
+            }
+        }
         made.subscription.connect();
         LOG.info("{} takes accesses at {}:{}, {} targets known from before", setup.name(), setup.listen().host(),
                 made.port(), restored == null ? 0 : restored.getTargetCount());
@@ -98,6 +114,11 @@
         return listener.port();
     }
 
+    /** Where the console listens; 0 where there is none. */
+    public int consolePort() {
+        return console == null ? 0 : console.port();
+    }
+
     public Counts counts() {
         return counts;
     }
@@ -119,6 +140,9 @@
         boolean clean = loop.awaitEnd(millis);
         loop.kill();
         subscription.stop();
+        if (console != null) {
+            console.close();
+        }
         wire.close();
         side.shutdown();
         LOG.info("{} has left{}: {}", setup.name(), clean ? "" : " with accesses unanswered", counts);
@@ -129,6 +153,9 @@
     public void kill() {
         loop.kill();
         subscription.stop();
+        if (console != null) {
+            console.close();
+        }
         wire.abort();
         side.shutdownNow();
     }
@@ -167,8 +194,18 @@
     }
 
     @Override
-    public void freePlace(Line client) {
-        places.incrementAndGet();
+    public void freePlace(Line client, Access access, long stay) {
+        gate.release(client, access, stay);
+    }
+
+    @Override
+    public double roomUsed() {
+        return gate.used();
+    }
+
+    @Override
+    public int placesTaken() {
+        return gate.places();
     }
 
     /** One connection to a target, from dialling to its end. */
--- /dev/null
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Gate.java
@@ -0,0 +1,34 @@
+package milletyoke.gateway.ingress;
+
+import milletyoke.admission.Admission;
+import milletyoke.wire.Line;
+import milletyoke.wire.proto.Access;
+
+/**
+ * The one {@link Admission} of a daemon behind a lock: sockets' threads ask and the loop gives back, each holding the lock
+ * for a few look-ups. An answer at once needs no turn of the loop, which may be the very thing that is behind.
+ */
+public final class Gate {
+    private final Admission admission;
+
+    public Gate(Admission.Room room) {
+        admission = new Admission(room);
+    }
+
+    public synchronized Admission.Verdict ask(Line client, Access access) {
+        return admission.ask(client.id(), access.getVolume(), access.getPayload().size());
+    }
+
+    /** @param stay for how long the place was held (microseconds) */
+    public synchronized void release(Line client, Access access, long stay) {
+        admission.release(client.id(), access.getVolume(), access.getPayload().size(), stay);
+    }
+
+    public synchronized double used() {
+        return admission.used();
+    }
+
+    public synchronized int places() {
+        return admission.places();
+    }
+}
--- a/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
@@ -1,13 +1,14 @@
 package milletyoke.gateway.ingress;
 
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
+import milletyoke.admission.Admission;
 import milletyoke.gateway.loop.Count;
 import milletyoke.gateway.loop.Counts;
 import milletyoke.gateway.loop.Loop;
 import milletyoke.gateway.loop.Told;
 import milletyoke.gateway.setup.Setup;
+import milletyoke.lifecycle.Condition;
 import milletyoke.port.Provisioning;
 import milletyoke.wire.BadFrame;
 import milletyoke.wire.Line;
@@ -35,17 +36,16 @@
     private final Counts counts;
     private final Set<String> categories;
     private final Set<String> plans;
-    private final AtomicInteger places;
+    private final Gate gate;
     private final Faults faults;
     private volatile boolean leaving;
 
-    /** @param places how many accesses may still be taken; given back as they end */
-    public Ingress(Setup setup, Loop loop, Counts counts, AtomicInteger places, Faults faults) {
+    public Ingress(Setup setup, Loop loop, Counts counts, Gate gate, Faults faults) {
         this.faults = faults;
         this.setup = setup;
         this.loop = loop;
         this.counts = counts;
-        this.places = places;
+        this.gate = gate;
         Provisioning given = setup.deployment().provisioning();
         categories = given.categories().stream().map(Provisioning.Category::name).collect(Collectors.toSet());
         plans = given.plans().stream().map(Provisioning.Plan::name).collect(Collectors.toSet());
@@ -71,16 +71,32 @@
     }
 
     private void access(Peer peer, Access a) {
+        Condition condition = leaving ? Condition.LEAVING : loop.condition();
         if (!acceptable(a)) {
-            reject(peer, a, Reason.UNACCEPTABLE, Count.UNACCEPTABLE);
-        } else if (leaving) {
-            reject(peer, a, Reason.LEAVING, Count.REJECTED_LEAVING);
-        } else if (places.getAndDecrement() <= 0) {
-            places.getAndIncrement();
-            reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE);
+            reject(peer, a, Reason.UNACCEPTABLE, Count.UNACCEPTABLE, 0);
+        } else if (!condition.admits()) {
+            reject(peer, a, reason(condition), Count.REJECTED_CONDITION, 0);
+        } else {
+            admit(peer, a);
+        }
+    }
+
+    private static Reason reason(Condition condition) {
+        return switch (condition) {
+            case LEAVING -> Reason.LEAVING;
+            case DRAINING -> Reason.DRAINED;
+            default -> Reason.NOT_READY;
+        };
+    }
+
+    private void admit(Peer peer, Access a) {
+        Admission.Verdict verdict = gate.ask(peer, a);
+        if (!verdict.admitted()) {
+            boolean mayAdvise = setup.deployment().provisioning().allowances().advice();
+            reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, mayAdvise ? verdict.retryIn() : 0);
         } else if (!loop.offer(new Told.Taken(peer, a, Wire.micros()))) {
-            places.getAndIncrement();
-            reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE);
+            gate.release(peer, a, 0);
+            reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, 0);
         }
     }
 
@@ -94,10 +110,10 @@
                 && (!a.hasShard() || a.getShard() >= 0 && a.getShard() < setup.room().shards());
     }
 
-    private void reject(Peer peer, Access a, Reason reason, Count count) {
+    private void reject(Peer peer, Access a, Reason reason, Count count, long retryIn) {
         counts.add(count);
         peer.send(Frame.newBuilder().setAnswer(Answer.newBuilder().setNumber(a.getNumber())
-                .setFinal(Final.REJECTED).setReason(reason)).build());
+                .setFinal(Final.REJECTED).setReason(reason).setRetryIn(retryIn)).build());
     }
 
     @Override
--- a/gateway/src/main/java/milletyoke/gateway/loop/Entry.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Entry.java
@@ -8,16 +8,21 @@
     final String id;
     final Line client;
     final Access access;
+    /** When it came in (microseconds). */
+    final long cameAt;
     /** After this nothing can be of use to the client any more (microseconds). */
     final long lastCall;
     int relays;
+    /** Where its latest relay went. */
+    String target;
     boolean out;
     boolean answered;
 
-    Entry(String id, Line client, Access access, long lastCall) {
+    Entry(String id, Line client, Access access, long cameAt, long lastCall) {
         this.id = id;
         this.client = client;
         this.access = access;
+        this.cameAt = cameAt;
         this.lastCall = lastCall;
     }
 }
--- a/gateway/src/main/java/milletyoke/gateway/loop/Ledger.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Ledger.java
@@ -5,7 +5,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import milletyoke.gateway.link.Outcomes;
+import milletyoke.gateway.picture.Accounts;
 import milletyoke.port.Action;
 import milletyoke.port.Event;
 import milletyoke.port.Outcome;
@@ -45,13 +47,16 @@
 
     /** Told when an access no longer takes a place. */
     interface Places {
-        void free(Line client);
+        /** @param stay microseconds since the access came in */
+        void free(Line client, Access access, long stay);
     }
 
     private final String mark;
     private final long answerSlack;
     private final Counts counts;
     private final Places places;
+    private final Accounts accounts;
+    private final LongSupplier time;
     private Outlet outlet;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<Line, Map<Long, Entry>> byClient = new LinkedHashMap<>();
@@ -62,7 +67,9 @@
     private int unanswered;
 
     /** @param mark what makes marks of this life unlike any other's, for accesses whose client gave none */
-    Ledger(String mark, long answerSlack, Counts counts, Places places) {
+    Ledger(String mark, long answerSlack, Counts counts, Places places, Accounts accounts, LongSupplier time) {
+        this.accounts = accounts;
+        this.time = time;
         this.mark = mark;
         this.answerSlack = answerSlack;
         this.counts = counts;
@@ -88,11 +95,11 @@
      */
     void taken(long now, long at, Line client, Access a) {
         if (!client.isOpen()) {
-            places.free(client); // gone while it waited in the queue: nobody is owed an answer
+            places.free(client, a, now - at); // gone while it waited in the queue: nobody is owed an answer
             return;
         }
         if (now >= at + a.getTimeLeft()) {
-            places.free(client);
+            places.free(client, a, now - at);
             counts.add(Count.EXPIRED);
             client.send(Frame.newBuilder().setAnswer(Answer.newBuilder().setNumber(a.getNumber())
                     .setFinal(Final.REJECTED).setReason(Reason.EXPIRED)).build());
@@ -100,16 +107,17 @@
         }
         String id = client.id() + "-" + a.getNumber();
         if (entries.containsKey(id)) {
-            places.free(client);
+            places.free(client, a, now - at);
             client.bye("access number " + a.getNumber() + " is used twice");
             return;
         }
-        Entry e = new Entry(id, client, a, at + a.getTimeLeft() + answerSlack);
+        Entry e = new Entry(id, client, a, at, at + a.getTimeLeft() + answerSlack);
         entries.put(id, e);
         byClient.computeIfAbsent(client, c -> new LinkedHashMap<>()).put(a.getNumber(), e);
         byLastCall.add(e);
         unanswered++;
         counts.add(Count.ACCESSES);
+        accounts.asked(now, a.getCategory(), a.getPlan(), a.getVolume());
         long timeLeft = a.getTimeLeft() - (now - at);
         events.add(new Event.Access(id, a.hasShard() ? a.getShard() : -1, a.getExtent().isEmpty() ? null
                 : a.getExtent(), a.getVolume(), timeLeft, a.getPlan(), a.getCategory(), Math.max(1, a.getHosts()),
@@ -135,10 +143,12 @@
 
     private void over(Entry e) {
         events.add(new Event.Over(e.id));
-        answered(e);
+        answered(e, Accounts.End.LEFT);
     }
 
-    private void answered(Entry e) {
+    private void answered(Entry e, Accounts.End how) {
+        long now = time.getAsLong();
+        accounts.ended(now, e.access.getCategory(), e.access.getPlan(), e.access.getVolume(), how, now - e.cameAt);
         e.answered = true;
         unanswered--;
         forgetIfDone(e);
@@ -151,7 +161,7 @@
             if (own.isEmpty()) {
                 byClient.remove(e.client);
             }
-            places.free(e.client);
+            places.free(e.client, e.access, time.getAsLong() - e.cameAt);
         }
     }
 
@@ -162,6 +172,9 @@
             return; // its access is over and forgotten
         }
         e.out = false;
+        accounts.relayEnded(time.getAsLong(), e.target, outcome == Outcome.SUCCEEDED ? Accounts.End.ANSWERED
+                : outcome == Outcome.FULL || outcome == Outcome.MOOT || outcome == Outcome.NO_CONNECTION
+                ? Accounts.End.REJECTED : Accounts.End.BROKEN_OFF, lag);
         if (outcome == Outcome.SUCCEEDED && !e.answered) {
             answer(e, Final.ANSWERED, 0, payload);
             counts.add(Count.ANSWERED);
@@ -233,6 +246,8 @@
         Access x = e.access;
         int attempt = e.relays++;
         e.out = true;
+        e.target = a.target();
+        accounts.relayed(now, a.target());
         counts.add(attempt == 0 ? Count.RELAYS : Count.RELAYS_FURTHER);
         Relay.Builder relay = Relay.newBuilder().setId(e.id).setAttempt(attempt).setExtent(x.getExtent())
                 .setVolume(x.getVolume()).setCategory(x.getCategory()).setUnits(x.getUnits())
@@ -259,7 +274,8 @@
             answer.setPayload(payload);
         }
         e.client.send(Frame.newBuilder().setAnswer(answer).build());
-        answered(e);
+        answered(e, how == Final.ANSWERED ? Accounts.End.ANSWERED : how == Final.REJECTED ? Accounts.End.REJECTED
+                : Accounts.End.BROKEN_OFF);
     }
 
     /** For a fault of the decisions: everything held is broken off, which promises nothing. */
--- a/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
@@ -10,10 +10,18 @@
 import milletyoke.Decide;
 import milletyoke.gateway.link.Dialler;
 import milletyoke.gateway.link.Links;
+import milletyoke.gateway.picture.Accounts;
+import milletyoke.gateway.picture.Painter;
+import milletyoke.gateway.picture.Picture;
 import milletyoke.gateway.setup.Address;
 import milletyoke.gateway.setup.Setup;
+import milletyoke.lifecycle.Condition;
+import milletyoke.lifecycle.Fact;
+import milletyoke.lifecycle.Lifecycle;
 import milletyoke.port.Action;
 import milletyoke.port.Event;
+import milletyoke.wire.Line;
+import milletyoke.wire.proto.Access;
 import milletyoke.wire.proto.Relay;
 import milletyoke.wire.proto.TargetList;
 import org.HdrHistogram.Histogram;
@@ -31,6 +39,8 @@
     private static final int MOST_A_TURN = 1024;
     /** Microseconds: the longest that the loop sleeps, and how often it looks for what is past all use. */
     private static final long LONGEST_SLEEP = 50_000;
+    /** How often a picture is made (microseconds). */
+    private static final long PAINT_EVERY = 250_000;
 
     /** What the loop needs of the rest of the initiator. */
     public interface Surroundings extends Dialler {
@@ -41,7 +51,13 @@
         void listHeld(TargetList whole);
 
         /** An access no longer takes a place. */
-        void freePlace(milletyoke.wire.Line client);
+        void freePlace(Line client, Access access, long stay);
+
+        /** The part of room that is taken, 0 to 1. */
+        double roomUsed();
+
+        /** Places taken. */
+        int placesTaken();
     }
 
     private final Setup setup;
@@ -51,16 +67,22 @@
     private final MpscArrayQueue<Told> queue;
     private final int roomForAccesses;
     private final Decide decide = new Decide();
+    private final Lifecycle lifecycle;
+    private final Accounts accounts;
+    private final Painter painter;
     private final Ledger ledger;
     private final Links links;
     private final Roster roster;
     private final Histogram turnTimes = new Histogram(60_000_000, 3);
+    private final Histogram recent = new Histogram(60_000_000, 2);
     private final Thread thread;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final java.util.ArrayDeque<Told> own = new java.util.ArrayDeque<>();
     private volatile boolean parked;
     private volatile boolean killed;
     private volatile Throwable fault;
+    private volatile Condition condition = Condition.STARTING;
+    private volatile Picture picture;
     private boolean leaving;
     /**
      * Every wake-up that was asked for and has not come. Guards against losing one: the decisions may ask for a later
@@ -69,6 +91,10 @@
      */
     private final PriorityQueue<Long> alarms = new PriorityQueue<>();
     private long overdueAt;
+    private long paintAt;
+    private long paintNanos;
+    private long paintSince;
+    private double paintCosts;
     private long turnAt;
 
     /** @param clock microseconds, never going back */
@@ -79,8 +105,12 @@
         this.counts = counts;
         queue = new MpscArrayQueue<>(setup.room().queue());
         roomForAccesses = queue.capacity() - queue.capacity() / 4;
+        lifecycle = new Lifecycle(new Lifecycle.Marks(setup.room().listAge(), setup.room().full(),
+                setup.room().eased(), 1_000_000));
+        accounts = new Accounts(setup.deployment().provisioning());
+        painter = new Painter(setup.name(), decide, accounts);
         ledger = new Ledger(setup.name() + "." + clock.getAsLong() + ".", setup.deployment().answerSlack(), counts,
-                around::freePlace);
+                around::freePlace, accounts, clock);
         links = new Links(setup.transport(), around, ledger, counts);
         roster = new Roster(new Roster.Addresses() {
             @Override
@@ -135,6 +165,10 @@
         ledger.happened(new Event.Start(seed, setup.deployment().provisioning()));
         TargetList known = restored == null ? TargetList.getDefaultInstance() : restored;
         ledger.happened(roster.listed(clock.getAsLong(), known, true));
+        if (restored != null) {
+            fact(new Fact.Listed(roster.usable(), true));
+        }
+        paint(clock.getAsLong());
         thread.start();
     }
 
@@ -218,6 +252,9 @@
             overdueAt = now + LONGEST_SLEEP;
             ledger.endOverdue(now);
         }
+        if (now >= paintAt) {
+            paint(now);
+        }
         if (nextAlarm() <= now) {
             while (nextAlarm() <= now) {
                 alarms.poll();
@@ -245,11 +282,13 @@
         turnAt = now;
         List<Action> actions = decide.decide(now, ledger.drain());
         ledger.carryOut(now, actions);
-        turnTimes.recordValue(Math.min(60_000_000, clock.getAsLong() - now));
+        long took = Math.min(60_000_000, clock.getAsLong() - now);
+        turnTimes.recordValue(took);
+        recent.recordValue(took);
     }
 
     private void sleep(long now) {
-        long until = Math.min(Math.min(nextAlarm(), links.nextDue()), now + LONGEST_SLEEP);
+        long until = Math.min(Math.min(nextAlarm(), Math.min(paintAt, links.nextDue())), now + LONGEST_SLEEP);
         parked = true;
         if (queue.isEmpty() && own.isEmpty() && !killed && until > now) {
             LockSupport.parkNanos(this, (until - now) * 1000);
@@ -278,17 +317,77 @@
         } else if (told instanceof Told.Listed t) {
             counts.add(Count.LISTS);
             ledger.happened(roster.listed(now, t.list(), false));
+            painter.happened(now, "list", "version " + t.list().getVersion() + ", "
+                    + t.list().getScope().name().toLowerCase() + " of " + t.list().getTargetCount(), null);
+            fact(new Fact.Listed(roster.usable(), false));
             around.listHeld(roster.whole());
         } else if (told instanceof Told.ListUnavailable t) {
             counts.add(Count.LISTS_UNAVAILABLE);
             ledger.happened(new Event.TargetList(Event.Scope.UNAVAILABLE, List.of()));
+            painter.happened(now, "list", "unavailable: " + t.why(), null);
+            fact(new Fact.ListUnavailable());
         } else if (told instanceof Told.Leave) {
             leaving = true;
+            fact(new Fact.Leave());
+        } else if (told instanceof Told.Drain t) {
+            fact(t.on() ? new Fact.Drain(t.who()) : new Fact.Undrain(t.who()));
+        } else if (told instanceof Told.DrainTarget t) {
+            drainTarget(now, t);
         } else if (told instanceof Told.Do t) {
             t.task().run();
         }
     }
 
+    private void drainTarget(long now, Told.DrainTarget t) {
+        Event.TargetList change = roster.drain(now, t.target(), t.on());
+        if (change != null) {
+            ledger.happened(change);
+            painter.happened(now, "operator", t.target() + (t.on() ? " drained here by " : " put back by ") + t.who(), null);
+            fact(new Fact.Listed(roster.usable(), false));
+        }
+    }
+
+    private void fact(Fact fact) {
+        condition = lifecycle.tell(clock.getAsLong(), fact);
+    }
+
+    /** Makes the picture that everybody else reads; what it cost is in the next one. */
+    private void paint(long now) {
+        long began = System.nanoTime();
+        paintAt = now + PAINT_EVERY;
+        fact(new Fact.Used(around.roomUsed()));
+        fact(new Fact.Tick());
+        picture = painter.paint(now, new Painter.Loop(lifecycle, around.placesTaken(), ledger.held(), links.out(),
+                around.roomUsed(), roster.version(), recent, paintCosts, roster::listedAs, roster::isDrainedHere));
+        paintNanos += System.nanoTime() - began;
+        if (now - paintSince >= 5_000_000) {
+            paintCosts = paintSince == 0 ? 0 : paintNanos / 1e3 / (now - paintSince);
+            paintNanos = 0;
+            paintSince = now;
+            recent.reset();
+        }
+    }
+
+    /** What this daemon is now; any thread may ask. */
+    public Condition condition() {
+        return condition;
+    }
+
+    /** The latest picture; any thread may ask, and the loop is not disturbed by it. */
+    public Picture picture() {
+        return picture;
+    }
+
+    /** Rows of the last seconds, oldest first; any thread may ask. */
+    public List<Accounts.Row> rows(int seconds) {
+        return accounts.rows(clock.getAsLong(), seconds);
+    }
+
+    /** Whether the list, as of the latest picture, has such a target. */
+    public boolean knows(String target) {
+        return picture.targets().stream().anyMatch(t -> t.look().id().equals(target));
+    }
+
     /** Shows figures of the loop to a reader, on the loop's thread. */
     public void show(Consumer<Figures> reader) {
         tell(new Told.Do(() -> reader.accept(new Figures(ledger.held(), ledger.unanswered(), links.out(),
--- a/gateway/src/main/java/milletyoke/gateway/loop/Roster.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Roster.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import milletyoke.gateway.setup.Address;
 import milletyoke.port.Event;
 import milletyoke.wire.proto.Health;
@@ -31,6 +33,8 @@
     private final Addresses addresses;
     private final Map<String, Target> held = new LinkedHashMap<>();
     private final Map<String, Start> starts = new LinkedHashMap<>();
+    /** Targets that an operator took out of service here; they stay so over new lists until put back. */
+    private final Set<String> drainedHere = new TreeSet<>();
     private long version;
     private long toldNow;
 
@@ -58,7 +62,8 @@
                 held.put(t.getId(), t);
                 addresses.listed(t.getId(), new Address(t.getHost(), t.getPort()));
             }
-            targets.add(new Event.Target(t.getShard(), t.getId(), t.getZone(), health(t), start(now, t, list)));
+            targets.add(new Event.Target(t.getShard(), t.getId(), t.getZone(), drainedHere.contains(t.getId()) && t.getHealth() == Health.ON ? Event.Health.DRAINING
+                    : health(t), start(now, t, list)));
         }
         if (list.getScope() != Scope.UPDATE) {
             starts.keySet().retainAll(held.keySet());
@@ -70,6 +75,41 @@
         return new Event.TargetList(scope, List.copyOf(targets));
     }
 
+    /** Null where the target is not listed; else a change as if discovery had told it. */
+    Event.TargetList drain(long now, String target, boolean on) {
+        if (on ? drainedHere.size() >= MOST_STARTS || !drainedHere.add(target) : !drainedHere.remove(target)) {
+            return null;
+        }
+        Target t = held.get(target);
+        if (t == null) {
+            return null;
+        }
+        Event.Health health = on && t.getHealth() == Health.ON ? Event.Health.DRAINING : health(t);
+        long launched = starts.containsKey(target) ? starts.get(target).local() : 0;
+        return new Event.TargetList(Event.Scope.UPDATE,
+                List.of(new Event.Target(t.getShard(), target, t.getZone(), health, launched)));
+    }
+
+    boolean isDrainedHere(String target) {
+        return drainedHere.contains(target);
+    }
+
+    boolean isListed(String target) {
+        return held.containsKey(target);
+    }
+
+    /** In a word how discovery has it; null where it is not listed. */
+    String listedAs(String target) {
+        Target t = held.get(target);
+        return t == null ? null : t.getHealth() == Health.ON ? "on" : "draining";
+    }
+
+    /** Targets that may be sent to. */
+    int usable() {
+        return (int) held.values().stream().filter(t -> t.getHealth() == Health.ON && !drainedHere.contains(t.getId()))
+                .count();
+    }
+
     private static Event.Health health(Target t) {
         return switch (t.getHealth()) {
             case ON -> Event.Health.ON;
--- a/gateway/src/main/java/milletyoke/gateway/loop/Told.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Told.java
@@ -34,6 +34,12 @@
     /** Take nothing new; the loop ends once every access held has its answer. */
     record Leave() implements Told {}
 
+    /** An operator takes this initiator out of service, or puts it back. */
+    record Drain(boolean on, String who) implements Told {}
+
+    /** An operator takes a target out of service for this initiator alone, or puts it back. */
+    record DrainTarget(String target, boolean on, String who) implements Told {}
+
     /** Anything else that must happen on the loop's thread. */
     record Do(Runnable task) implements Told {}
 }
--- /dev/null
+++ b/gateway/src/main/java/milletyoke/gateway/picture/Painter.java
@@ -0,0 +1,103 @@
+package milletyoke.gateway.picture;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import milletyoke.Decide;
+import milletyoke.Look;
+import milletyoke.gateway.picture.Picture.Happening;
+import milletyoke.gateway.picture.Picture.Volume;
+import milletyoke.lifecycle.Lifecycle;
+import org.HdrHistogram.Histogram;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * Makes pictures, on the loop. All targets are looked at each time; of the volumes at most {@value #VOLUMES_A_PICTURE}
+ * that changed, so that a picture costs the same however many there are. What differs from the last picture becomes an
+ * event.
+ */
+public final class Painter {
+    static final int VOLUMES_A_PICTURE = 256;
+    private static final int EVENTS = 2_000;
+
+    private final String name;
+    private final Decide decide;
+    private final Accounts accounts;
+    private PMap<String, Volume> volumes = HashTreePMap.empty();
+    private PVector<Happening> events = TreePVector.empty();
+    private Map<String, String> states = new HashMap<>();
+    private Lifecycle.Transition lastTransition;
+
+    public Painter(String name, Decide decide, Accounts accounts) {
+        this.name = name;
+        this.decide = decide;
+        this.accounts = accounts;
+    }
+
+    /** What the loop knows beside the decisions. */
+    public record Loop(Lifecycle lifecycle, int places, int held, int out, double used, long version, Histogram turns,
+            double costs, Function<String, String> listedAs, Function<String, Boolean> drainedHere) {}
+
+    /** Notes something that no picture shows by itself. @param volume whose it is alone, or null */
+    public void happened(long now, String kind, String what, String volume) {
+        events = events.plus(new Happening(now, kind, what, volume));
+        if (events.size() > EVENTS) {
+            events = events.minus(0);
+        }
+    }
+
+    public Picture paint(long now, Loop loop) {
+        accounts.turn(now);
+        List<Picture.Target> targets = new ArrayList<>();
+        for (Look.TargetLook look : Look.targets(decide)) {
+            String listed = loop.listedAs().apply(look.id());
+            if (listed != null || look.out() > 0) {
+                targets.add(new Picture.Target(look, loop.drainedHere().apply(look.id()),
+                        listed == null ? "gone" : listed, accounts.target(look.id())));
+            } else {
+                accounts.forgetTarget(look.id());
+            }
+        }
+        tellChanges(now, targets, loop.lifecycle());
+        accounts.takeForgotten().forEach(v -> volumes = volumes.minus(v));
+        for (String v : accounts.takeDirty(VOLUMES_A_PICTURE)) {
+            Accounts.OfVolume of = accounts.volume(v);
+            if (of != null) {
+                volumes = volumes.plus(v, new Volume(v, of.plan, of.tally(), Look.volume(decide, v), of.lastAsked,
+                        of.held));
+            }
+        }
+        return new Picture(now, name, loop.lifecycle().condition(), loop.lifecycle().past(), loop.places(), loop.held(),
+                loop.out(), loop.used(), loop.version(), Look.lateShare(decide), Look.furtherSuccess(decide),
+                loop.turns().getValueAtPercentile(50), loop.turns().getValueAtPercentile(99), List.copyOf(targets),
+                List.copyOf(Look.nodes(decide)), volumes, accounts.dirty(), events, accounts.categories(),
+                accounts.plans(), loop.costs());
+    }
+
+    private void tellChanges(long now, List<Picture.Target> targets, Lifecycle lifecycle) {
+        Map<String, String> next = new HashMap<>();
+        for (Picture.Target t : targets) {
+            String state = t.state();
+            String before = states.get(t.look().id());
+            next.put(t.look().id(), state);
+            if (!state.equals(before)) {
+                happened(now, "target", t.look().id() + (before == null ? " is known: " : ": " + before + " -> ") + state,
+                        null);
+            }
+        }
+        states.keySet().stream().filter(id -> !next.containsKey(id)).sorted().forEach(id ->
+                happened(now, "target", id + " is known no more", null));
+        states = next;
+        List<Lifecycle.Transition> past = lifecycle.past();
+        int fresh = lastTransition == null ? 0 : past.lastIndexOf(lastTransition) + 1;
+        for (Lifecycle.Transition t : past.subList(fresh, past.size())) {
+            happened(t.at(), "condition", t.from() + " -> " + t.to() + ": " + t.why(), null);
+            lastTransition = t;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/milletyoke/gateway/picture/Picture.java
@@ -0,0 +1,59 @@
+package milletyoke.gateway.picture;
+
+import java.util.List;
+import java.util.Map;
+import milletyoke.Look;
+import milletyoke.lifecycle.Condition;
+import milletyoke.lifecycle.Lifecycle;
+import org.pcollections.PMap;
+import org.pcollections.PVector;
+
+/**
+ * What one initiator believed and did at a moment: immutable, so that any number of readers may hold it while the loop
+ * goes on. Volumes are a persistent map of which only the changed part is made anew. Times are microseconds on the
+ * initiator's clock.
+ *
+ * @param behind volumes that changed and are not in it yet
+ * @param costs part of the loop's time that pictures and accounts took, of late
+ */
+public record Picture(long at, String name, Condition condition, List<Lifecycle.Transition> transitions, int places,
+        int held, int out, double used, long listVersion, double lateShare, double furtherSuccess, long turnP50,
+        long turnP99, List<Target> targets, List<Look.NodeLook> nodes, PMap<String, Volume> volumes, int behind,
+        PVector<Happening> events, Map<String, Tally> categories, Map<String, Tally> plans, double costs) {
+
+    /** @param drainedHere taken out of service by an operator of this initiator alone */
+    public record Target(Look.TargetLook look, boolean drainedHere, String listed, Tally tally) {
+        /** One word for people, the gravest first. */
+        public String state() {
+            return drainedHere ? "drained here" : !look.usable() ? listed : look.silentSince() > 0 ? "silent"
+                    : look.cold() ? "cold" : look.resting() ? "resting" : "on";
+        }
+    }
+
+    /** One volume: what was asked and got through this initiator since its start, and what it has left. */
+    public record Volume(String name, String plan, Tally tally, Look.VolumeLook left, long lastAsked, int held) {}
+
+    /**
+     * Counts since the start.
+     *
+     * @param inTime answered within the agreed time of their category
+     */
+    public record Tally(long asked, long answered, long inTime, long rejected, long brokenOff) {
+        public static final Tally NONE = new Tally(0, 0, 0, 0, 0);
+
+        /** The part of what was asked that was answered in time; 1 where nothing was. */
+        public double service() {
+            return asked == 0 ? 1 : inTime / (double) asked;
+        }
+    }
+
+    /**
+     * Something worth telling.
+     *
+     * @param volume whose it is alone; null for what concerns the initiator or a target
+     */
+    public record Happening(long at, String kind, String what, String volume) {}
+
+    /** Figures of one second of one series; times are of answers, in microseconds. */
+    public record Second(int asked, int answered, int inTime, int rejected, int brokenOff, int p50, int p99) {}
+}
--- a/gateway/src/main/java/milletyoke/gateway/setup/Setup.java
+++ b/gateway/src/main/java/milletyoke/gateway/setup/Setup.java
@@ -6,10 +6,20 @@
  * What one initiator is started with.
  *
  * @param number its number among the initiators of the deployment, from 1
- * @param folder where it keeps its last list; null keeps none
+ * @param folder where it keeps its last list and the journal of actions; null keeps none
+ * @param console null where it has none
  */
 public record Setup(String name, int number, Address listen, Address discovery, Path folder, Deployment deployment,
-        Transport transport, Room room) {
+        Transport transport, Room room, Console console) {
+
+    /** Without a console. */
+    public Setup(String name, int number, Address listen, Address discovery, Path folder, Deployment deployment,
+            Transport transport, Room room) {
+        this(name, number, listen, discovery, folder, deployment, transport, room, null);
+    }
+
+    /** Where the console listens and who may look. @param rate requests a second for each token */
+    public record Console(Address listen, Path tokens, double rate) {}
 
     /**
      * How connections are kept. Times are microseconds.
@@ -30,8 +40,19 @@
      * @param shards shards are numbered below this
      * @param largest units of one access
      * @param longest time left that an access may come with (microseconds)
+     * @param bytes of payloads held
+     * @param connectionPart of places and bytes, for one connection
+     * @param greed how many times the free room one volume may hold
+     * @param full from this part used on the daemon tells that it is saturated, until below {@code eased}
+     * @param listAge without a word from discovery for so long the list counts as lost (microseconds)
      */
-    public record Room(int held, int queue, int shards, double largest, long longest) {}
+    public record Room(int held, int queue, int shards, double largest, long longest, long bytes, double connectionPart,
+            double greed, double full, double eased, long listAge) {
+        /** With the usual figures beside these. */
+        public Room(int held, int queue, int shards, double largest, long longest) {
+            this(held, queue, shards, largest, longest, 256L << 20, 1, 4, 0.9, 0.7, 10_000_000);
+        }
+    }
 
     /** @throws SetupError that names file, line and field */
     public static Setup read(Path file) throws SetupError {
@@ -48,8 +69,9 @@
         Deployment deployment = Deployment.read(f.form("deployment"));
         Transport transport = transport(f.optional("transport"));
         Room room = room(f.optional("room"));
+        Console console = f.has("console") ? console(f.form("console"), base) : null;
         f.done();
-        return new Setup(name, number, listen, discovery, folder, deployment, transport, room);
+        return new Setup(name, number, listen, discovery, folder, deployment, transport, room, console);
     }
 
     private static Transport transport(Form t) throws SetupError {
@@ -64,9 +86,22 @@
         return transport;
     }
 
+    private static Console console(Form c, Path base) throws SetupError {
+        Console console = new Console(c.address("listen", null), base.resolve(c.text("tokens", null)),
+                c.figure("rate", 100, 1, 1e6));
+        c.done();
+        return console;
+    }
+
     private static Room room(Form r) throws SetupError {
         Room room = new Room(r.whole("held", 10_000, 1, 10_000_000), r.whole("queue", 1 << 16, 64, 1 << 24),
-                r.whole("shards", 1 << 16, 1, 1 << 24), r.figure("largest", 1e6, 1, 1e12), r.time("longest", "1 h"));
+                r.whole("shards", 1 << 16, 1, 1 << 24), r.figure("largest", 1e6, 1, 1e12), r.time("longest", "1 h"),
+                (long) r.figure("bytes", 256 << 20, 1024, 1e15), r.figure("connectionPart", 1, 0.01, 1),
+                r.figure("greed", 4, 1, 1e6), r.figure("full", 0.9, 0.01, 1), r.figure("eased", 0.7, 0, 0.99),
+                r.time("listAge", "10 s"));
+        if (room.eased() >= room.full()) {
+            throw r.wrong("eased", "must be under full, " + room.full());
+        }
         r.done();
         return room;
     }
--- /dev/null
+++ b/lifecycle/src/main/java/milletyoke/lifecycle/Lifecycle.java
@@ -0,0 +1,127 @@
+package milletyoke.lifecycle;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Decides a daemon's condition from facts. It knows no clock: each fact comes with its time (microseconds). It never says
+ * what becomes of an access that was taken; that is decided elsewhere.
+ */
+public final class Lifecycle {
+    /** Transitions remembered. */
+    private static final int REMEMBERED = 64;
+
+    /**
+     * What is borne.
+     *
+     * @param listAge without a word from discovery for so long the list counts as lost (microseconds)
+     * @param full from this part of room used on, the daemon is saturated
+     * @param eased and below this part no more; a gap keeps it from flapping
+     * @param settled a daemon stays saturated for at least so long (microseconds)
+     */
+    public record Marks(long listAge, double full, double eased, long settled) {
+        public static final Marks USUAL = new Marks(10_000_000, 0.9, 0.7, 1_000_000);
+
+        public Marks {
+            if (!(full > eased && eased >= 0 && full <= 1)) {
+                throw new IllegalArgumentException("full must be over eased, both within 0 and 1, not " + full + ", "
+                        + eased);
+            }
+        }
+    }
+
+    /** One change of condition; {@code why} is in words. */
+    public record Transition(long at, Condition from, Condition to, String why) {}
+
+    private final Marks marks;
+    private final ArrayDeque<Transition> past = new ArrayDeque<>();
+    private Condition condition = Condition.STARTING;
+    private boolean heardList;
+    private int usable;
+    private long listLostAt = -1;
+    private boolean saturated;
+    private long saturatedAt;
+    private String drainedBy;
+    private boolean leaving;
+
+    public Lifecycle(Marks marks) {
+        this.marks = marks;
+    }
+
+    public Condition condition() {
+        return condition;
+    }
+
+    /** The latest transitions, oldest first. */
+    public List<Transition> past() {
+        return new ArrayList<>(past);
+    }
+
+    /** Takes a fact and returns the condition after it. */
+    public Condition tell(long now, Fact fact) {
+        String why = learn(now, fact);
+        Condition next = judge(now);
+        if (next != condition) {
+            past.addLast(new Transition(now, condition, next, why));
+            if (past.size() > REMEMBERED) {
+                past.removeFirst();
+            }
+            condition = next;
+        }
+        return condition;
+    }
+
+    private String learn(long now, Fact fact) {
+        if (fact instanceof Fact.Listed f) {
+            heardList |= !f.restored() || f.usable() > 0;
+            usable = f.usable();
+            listLostAt = f.restored() ? now : -1; // what was restored is old until discovery confirms it
+            return f.usable() + " targets may be sent to" + (f.restored() ? ", as known before the start" : "");
+        } else if (fact instanceof Fact.ListUnavailable) {
+            listLostAt = listLostAt < 0 ? now : listLostAt;
+            return "discovery is lost";
+        } else if (fact instanceof Fact.Used f) {
+            return used(now, f.part());
+        } else if (fact instanceof Fact.Drain f) {
+            drainedBy = f.who();
+            return "drained by " + f.who();
+        } else if (fact instanceof Fact.Undrain f) {
+            drainedBy = null;
+            return "put back by " + f.who();
+        } else if (fact instanceof Fact.Leave) {
+            leaving = true;
+            return "asked to end";
+        }
+        return "time passed";
+    }
+
+    private String used(long now, double part) {
+        if (!saturated && part >= marks.full()) {
+            saturated = true;
+            saturatedAt = now;
+        } else if (saturated && part < marks.eased() && now - saturatedAt >= marks.settled()) {
+            saturated = false;
+        }
+        return Math.round(100 * part) + "% of the room is used";
+    }
+
+    private Condition judge(long now) {
+        if (leaving) {
+            return Condition.LEAVING;
+        }
+        if (drainedBy != null) {
+            return Condition.DRAINING;
+        }
+        if (!heardList) {
+            return listLostAt >= 0 && now - listLostAt >= marks.listAge() ? Condition.WITHOUT_LIST : Condition.STARTING;
+        }
+        if (usable == 0) {
+            return Condition.WITHOUT_LIST;
+        }
+        if (saturated) {
+            return Condition.SATURATED;
+        }
+        return listLostAt >= 0 && now - listLostAt >= marks.listAge() ? Condition.LIST_LOST : Condition.READY;
+    }
+}
--- a/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -27,6 +27,7 @@
 import milletyoke.gateway.Initiator;
 import milletyoke.gateway.setup.Address;
 import milletyoke.gateway.setup.Setup;
+import milletyoke.gateway.setup.SetupError;
 import milletyoke.port.Provisioning.Category;
 import milletyoke.port.Provisioning.Group;
 import milletyoke.port.Provisioning.Repeats;
@@ -58,6 +59,7 @@
 
     private final BadDay day;
     private final boolean straight;
+    private final Path consoleTokens;
     private final Recorder recorder;
     private final Path folder;
     private final ScheduledThreadPoolExecutor clockwork = new ScheduledThreadPoolExecutor(3, task -> {
@@ -94,6 +96,12 @@
      * @param straight clients go straight to the targets, for comparison; there are no initiators then
      */
     public Stage(BadDay day, Path recording, boolean straight) throws IOException {
+        this(day, recording, straight, null);
+    }
+
+    /** @param consoleTokens who may look at the initiators' consoles, null for no consoles */
+    public Stage(BadDay day, Path recording, boolean straight, Path consoleTokens) throws IOException {
+        this.consoleTokens = consoleTokens;
         this.day = day;
         this.straight = straight;
         chance = new SplittableRandom(day.seed());
@@ -185,9 +193,14 @@
         Setup setup = new Setup(name, i + 1, new Address("127.0.0.1", ports[i]),
                 new Address("127.0.0.1", discovery.port()), folder.resolve(name), day.deployment(),
                 new Setup.Transport(250_000, 30_000_000, 4, 100, 250_000, 1 << 20, 8L << 20, 5_000_000, 2),
-                new Setup.Room(day.held(), 1 << 16, 1 << 16, 1e6, 3_600_000_000L));
+                new Setup.Room(day.held(), 1 << 16, 1 << 16, 1e6, 3_600_000_000L),
+                consoleTokens == null ? null : new Setup.Console(new Address("127.0.0.1", 0), consoleTokens, 1000));
         note(name, Note.Kind.UP, "initiator", 0);
-        initiators[i] = Initiator.start(setup, tap(name));
+        try {
+            initiators[i] = Initiator.start(setup, tap(name));
+        } catch (SetupError bad) {
+            throw new IOException(bad.getMessage(), bad);
+        }
         ports[i] = initiators[i].port();
         running[i] = true;
     }
@@ -260,6 +273,11 @@
         }
     }
 
+    /** Initiators by number from 0, as they are now. */
+    public Initiator initiator(int i) {
+        return initiators[i];
+    }
+
     // ---- The day ----
 
     /** Plays the day to its end. @param live hears a line of service every second; may do nothing */
