--- a/gateway/src/main/java/milletyoke/gateway/console/Console.java
+++ b/gateway/src/main/java/milletyoke/gateway/console/Console.java
@@ -41,7 +41,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Console.class);
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MOST_BODY = 4_096, MOST_FIND = 100, MOST_PAGE = 100_000, MOST_STREAMS = 256;
-    private static final long PATIENCE = 10_000_000;
+    /** For a request to come in whole, and for a stream's reader to take what it was sent (microseconds). */
+    private static final long PATIENCE = 5_000_000;
     private static final String COOKIE = "milletyoke";
 
     private final Loop loop;
--- a/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -517,6 +517,7 @@
     @Override
     public void close() throws IOException {
         over = true;
+        clients.abort();
         clockwork.shutdownNow();
         for (Initiator i : initiators) {
             if (i != null) {
--- a/standins/src/main/java/milletyoke/standins/Clients.java
+++ b/standins/src/main/java/milletyoke/standins/Clients.java
@@ -231,6 +231,12 @@
         return left;
     }
 
+    /** Stops at once, whatever is out. */
+    public void abort() {
+        stopped = true;
+        wire.abort();
+    }
+
     // ---- Sending ----
 
     private void pace() {
