The overview says why accesses wait or are rejected; onlookers measure the console under flood

A rack that restarts at the deadline hour must be explained, not only listed: the overview has a table of what holds accesses up, the gravest first.

--- a/cli/src/main/java/milletyoke/cli/Rehearse.java
+++ b/cli/src/main/java/milletyoke/cli/Rehearse.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.Callable;
+import milletyoke.gateway.console.Tokens;
+import milletyoke.rehearsal.Onlookers;
 import milletyoke.rehearsal.Stage;
 import milletyoke.rehearsal.audit.Audit;
 import milletyoke.rehearsal.script.BadDay;
@@ -26,6 +29,10 @@
             + " between, and compare.")
     private boolean straight;
 
+    @Option(names = "--viewers", paramLabel = "N", description = "So many poll the first initiator's console, as many keep a"
+            + " stream; the same day is played without them for comparison.")
+    private int viewers;
+
     @Option(names = "--quiet", description = "No line every second.")
     private boolean quiet;
 
@@ -49,10 +56,7 @@
         System.out.println("== " + day.name());
         Path recording = keep != null ? keep : Files.createTempFile("milletyoke-", ".recording");
         try {
-            Stage.Played played;
-            try (Stage stage = new Stage(day, recording, false)) {
-                played = stage.play(quiet ? line -> { } : System.out::println);
-            }
+            Stage.Played played = viewers > 0 ? watched(day, recording) : bare(day, recording);
             System.out.print(played.service().text());
             played.counts().forEach(c -> System.out.println("  " + c));
             Audit.Report report = Audit.of(recording);
@@ -72,6 +76,32 @@
         }
     }
 
+    private Stage.Played bare(BadDay day, Path recording) throws IOException, InterruptedException {
+        try (Stage stage = new Stage(day, recording, false)) {
+            return stage.play(quiet ? line -> { } : System.out::println);
+        }
+    }
+
+    private Stage.Played watched(BadDay day, Path recording) throws IOException, InterruptedException {
+        Stage.Played alone = bare(day, recording);
+        String token = Tokens.make();
+        Path tokens = Files.createTempFile("milletyoke-", ".json5");
+        Files.writeString(tokens, "{tokens: [{name: \"viewer\", role: \"viewer\", sha256: \""
+                + HexFormat.of().formatHex(Tokens.hash(token)) + "\"}]}");
+        try (Stage stage = new Stage(day, recording, false, tokens);
+                Onlookers onlookers = new Onlookers(stage.initiator(0).consolePort(), token, viewers, 200)) {
+            Stage.Played played = stage.play(line -> { }, () -> {
+                System.out.println("console: " + onlookers.text());
+                onlookers.close();
+            });
+            System.out.printf("service with %d viewers and %d streams %.3f, without %.3f, ratio %.3f%n", viewers, viewers,
+                    played.service().whole(), alone.service().whole(), played.service().whole() / alone.service().whole());
+            return played;
+        } finally {
+            Files.delete(tokens);
+        }
+    }
+
     private void compare(BadDay day, Stage.Played through) throws IOException, InterruptedException {
         Stage.Played bare;
         Path recording = Files.createTempFile("milletyoke-", ".recording");
--- a/gateway/src/main/java/milletyoke/gateway/Initiator.java
+++ b/gateway/src/main/java/milletyoke/gateway/Initiator.java
@@ -90,7 +90,7 @@
         made.loop.start(seed(), restored);
         if (setup.console() != null) {
             try {
-                made.console = new Console(setup.console(), setup, made.loop);
+                made.console = new Console(setup.console(), setup, made.loop, made.counts);
             } catch (IOException | SetupError unusable) {
                 made.kill();
                 throw unusable;
--- a/gateway/src/main/java/milletyoke/gateway/console/Html.java
+++ b/gateway/src/main/java/milletyoke/gateway/console/Html.java
@@ -58,7 +58,11 @@
         boolean acts = sight.acts() && page.equals("targets") && table.name().equals("targets");
         out.append("<div class=\"scroll\" tabindex=\"0\"><table><caption>").append(text(table.name())).append(" (")
                 .append(table.total()).append(")</caption><thead><tr>");
-        table.columns().forEach(c -> out.append("<th scope=\"col\">").append(text(c)).append("</th>"));
+        for (int c = 0; c < table.columns().size(); c++) {
+            boolean number = !table.rows().isEmpty() && table.rows().get(0).get(c) instanceof Number;
+            out.append(number ? "<th scope=\"col\" class=\"n\">" : "<th scope=\"col\">").append(text(table.columns().get(c)))
+                    .append("</th>");
+        }
         out.append(acts ? "<th scope=\"col\">act</th>" : "").append("</tr></thead><tbody data-table=\"")
                 .append(text(table.name())).append("\">");
         for (List<Object> row : table.rows()) {
--- a/gateway/src/main/java/milletyoke/gateway/console/Views.java
+++ b/gateway/src/main/java/milletyoke/gateway/console/Views.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import milletyoke.gateway.loop.Count;
+import milletyoke.gateway.loop.Counts;
 import milletyoke.gateway.loop.Loop;
 import milletyoke.gateway.picture.Accounts;
 import milletyoke.gateway.picture.Picture;
@@ -49,10 +51,12 @@
     private final Setup setup;
     private final Loop loop;
     private final Journal journal;
+    private final Counts counts;
     private final Instant began = Instant.now();
     private final long beganMicros;
 
-    Views(Setup setup, Loop loop, Journal journal, long nowMicros) {
+    Views(Setup setup, Loop loop, Journal journal, Counts counts, long nowMicros) {
+        this.counts = counts;
         this.setup = setup;
         this.loop = loop;
         this.journal = journal;
@@ -93,7 +97,7 @@
         figures.put("targets", p.targets().size());
         figures.put("not on", p.targets().stream().filter(t -> !t.state().equals("on"))
                 .map(t -> t.look().id() + " " + t.state()).sorted().limit(20)
-                .collect(java.util.stream.Collectors.joining(", ")));
+                .reduce((a, b) -> a + ", " + b).orElse("none"));
         figures.put("list version", p.listVersion());
         figures.put("turn p50", micros(p.turnP50()));
         figures.put("turn p99", micros(p.turnP99()));
@@ -102,7 +106,9 @@
         figures.put("further relays that succeed", percent(p.furtherSuccess()));
         List<List<Object>> rows = new ArrayList<>();
         p.categories().forEach((name, t) -> rows.add(row(name, t)));
-        return new View("Overview", figures, List.of(new Table("service by category", TALLY, rows, rows.size(), 0)),
+        List<List<Object>> why = why(p);
+        return new View("Overview", figures, List.of(new Table("service by category", TALLY, rows, rows.size(), 0),
+                new Table("why accesses wait or are rejected", List.of("what", "why", "waiting"), why, why.size(), 0)),
                 List.of(service(sight), lag()));
     }
 
@@ -138,6 +144,48 @@
         figures.put("broken off", t.brokenOff());
     }
 
+    /** What holds accesses up, as far as one initiator can know it: the gravest first. */
+    private List<List<Object>> why(Picture p) {
+        List<List<Object>> rows = new ArrayList<>();
+        if (!p.condition().admits() || p.condition() == Condition.SATURATED) {
+            rows.add(List.of("this initiator", p.condition().tells(), 0));
+        }
+        Map<Integer, Integer> waiting = new LinkedHashMap<>();
+        p.nodes().forEach(n -> waiting.put(n.shard(), n.waiting()));
+        p.nodes().stream().filter(n -> n.target() == null && n.waiting() > 0).forEach(n ->
+                rows.add(List.of("shard " + n.shard(), "no target in service holds it", n.waiting())));
+        for (Picture.Target t : p.targets()) {
+            String cause = cause(t.state());
+            if (cause != null) {
+                rows.add(List.of(t.look().id(), cause, waiting.getOrDefault(t.look().shard(), 0)));
+            }
+        }
+        p.volumes().values().stream().filter(v -> v.left().limit() >= 0 && v.left().limit() < 1 && v.left().waiting() > 0)
+                .sorted(Comparator.comparing((Picture.Volume v) -> -v.left().waiting()).thenComparing(Picture.Volume::name))
+                .limit(10).forEach(v -> rows.add(List.of(v.name(), "at the limit of its plan " + v.plan(),
+                        v.left().waiting())));
+        refused(rows, Count.NO_PLACE, "beyond the places of all, of a connection or of a volume");
+        refused(rows, Count.REJECTED_CONDITION, "came while nothing was taken");
+        refused(rows, Count.UNACCEPTABLE, "named no category or plan of ours, or a figure out of range");
+        return rows;
+    }
+
+    private static String cause(String state) {
+        return switch (state) {
+            case "silent" -> "silent: it owes answers and gives none; single trials only";
+            case "cold" -> "cold: held to what it surely bears";
+            case "resting" -> "resting: its answers came late; only what fits goes there";
+            case "draining", "drained here" -> "takes nothing new: " + state;
+            default -> null;
+        };
+    }
+
+    private void refused(List<List<Object>> rows, Count count, String why) {
+        if (counts.of(count) > 0) {
+            rows.add(List.of(counts.of(count) + " accesses since the start", why, 0));
+        }
+    }
+
     private static final List<String> TALLY =
             List.of("name", "asked", "answered", "in time", "rejected", "broken off");
 
--- a/gateway/src/main/resources/console/console.js
+++ b/gateway/src/main/resources/console/console.js
@@ -20,14 +20,19 @@
     const acts = new Map();
     for (const row of body.rows) {
       const last = row.cells[row.cells.length - 1];
-      if (last && last.querySelector("form")) { acts.set(row.cells[0].textContent + "/" + row.cells[1].textContent, last); }
+      if (last && last.querySelector("form")) { acts.set(row.cells[0].textContent, last); }
     }
     if (body.contains(document.activeElement)) { return; } // a button there is about to be pressed
     body.replaceChildren(...table.rows.map(function (row) {
       const tr = document.createElement("tr");
       tr.append(...row.map(cell));
-      const act = acts.get(row[0] + "/" + row[1]);
-      if (act) { tr.append(act); }
+      const act = acts.get(row[0]);
+      if (act) {
+        const here = row[1] === "drained here";
+        act.querySelector("input[name=what]").value = here ? "undrain-target" : "drain-target";
+        act.querySelector("button").textContent = here ? "put back" : "drain here";
+        tr.append(act);
+      }
       return tr;
     }));
     body.closest("table").caption.textContent = table.name + " (" + table.total + ")";
--- a/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -282,6 +282,11 @@
 
     /** Plays the day to its end. @param live hears a line of service every second; may do nothing */
     public Played play(Consumer<String> live) throws IOException, InterruptedException {
+        return play(live, () -> { });
+    }
+
+    /** @param before is run when clients have stopped asking, before the initiators leave */
+    public Played play(Consumer<String> live, Runnable before) throws IOException, InterruptedException {
         if (!clients.awaitDoors(10_000)) {
             throw new IOException("the clients found no way in within 10 s");
         }
@@ -298,6 +303,7 @@
             }
             live.accept(String.format("%3d s  %s", second, clients.service().brief()));
         }
+        before.run();
         long longest = day.kinds().stream().mapToLong(BadDay.Kind::abandon).max().orElse(0);
         int unfinished = clients.stop((longest + day.bounds().answerSlack()) / 1000 + 1_000);
         double cpuEach = (cpu() - cpu) / 1e3 / Math.max(1, clients.service().askedInAll());
@@ -306,8 +312,10 @@
         for (int n = 0; n < initiators.length; n++) {
             Initiator i = initiators[n];
             if (running[n]) {
+                var p = i.loop().picture();
                 clean &= i.leave(longest / 1000 + 1_000);
-                counts.add(i.name() + ": " + i.counts());
+                counts.add(String.format("%s: %s; turns p50 %d us, p99 %d us; pictures take %.2f%% of the loop's time",
+                        i.name(), i.counts(), p.turnP50(), p.turnP99(), 100 * p.costs()));
             }
         }
         return new Played(clients.service(), unfinished, cpuEach, counts, clean);
--- a/rehearsal/src/test/java/milletyoke/rehearsal/BrowserTest.java
+++ b/rehearsal/src/test/java/milletyoke/rehearsal/BrowserTest.java
@@ -59,7 +59,12 @@
             browser.value("document.querySelector('tbody button').focus()");
             browser.key("Enter", "Enter", 13);
             Puppets.until(() -> browser.value("document.body.textContent").contains("drained here"), "t1 is drained here");
+            Puppets.until(() -> browser.value("document.querySelector('tbody button').textContent").equals("put back"),
+                    "its button puts it back now");
             browser.picture(pictures.resolve("targets-drained.png"));
+            browser.open(base + "/");
+            Puppets.until(() -> browser.value("document.body.textContent").contains("cold: held to"), "the rack is cold");
+            browser.picture(pictures.resolve("overview-cold.png"));
         } finally {
             beside.shutdownNow();
         }
--- a/rehearsal/src/test/java/milletyoke/rehearsal/ConsoleTest.java
+++ b/rehearsal/src/test/java/milletyoke/rehearsal/ConsoleTest.java
@@ -250,6 +250,10 @@
             Future<Stage.Played> played = play(beside, stage);
             Viewer viewer = new Viewer(stage.initiator(0).consolePort(), Viewer.VIEWER);
             Set<String> cold = new TreeSet<>();
+            Puppets.until(() -> !viewer.get("/api/v1/events?find=on%20-%3E%20cold").body().contains("\"total\":0")
+                    || !viewer.get("/api/v1/events?find=gone").body().contains("\"total\":0")
+                    || viewer.get("/api/v1/targets").body().contains("cold"), "the rack restarts");
+            long struck = System.nanoTime();
             Puppets.until(() -> {
                 viewer.view("targets").get("tables").get(0).get("rows").forEach(r -> {
                     if (r.get(1).asText().equals("cold")) {
@@ -258,8 +262,12 @@
                 });
                 return cold.size() == 2;
             }, "both of five are named cold");
+            long took = (System.nanoTime() - struck) / 1_000_000;
+            assertTrue(took < 2_000, "they were named after " + took + " ms");
             String events = viewer.get("/api/v1/events?find=cold").body();
             cold.forEach(t -> assertTrue(events.contains(t), events));
+            String why = viewer.view("overview").get("tables").get(1).toString();
+            cold.forEach(t -> assertTrue(why.contains("\"" + t + "\",\"cold: held to what it surely bears\""), why));
             String notOn = viewer.view("overview").get("figures").get("not on").asText();
             cold.forEach(t -> assertTrue(notOn.contains(t + " cold"), notOn));
             played.get();
