--- a/gateway/src/main/java/milletyoke/gateway/console/Views.java
+++ b/gateway/src/main/java/milletyoke/gateway/console/Views.java
@@ -107,8 +107,9 @@
         List<List<Object>> rows = new ArrayList<>();
         p.categories().forEach((name, t) -> rows.add(row(name, t)));
         List<List<Object>> why = why(p);
-        return new View("Overview", figures, List.of(new Table("service by category", TALLY, rows, rows.size(), 0),
-                new Table("why accesses wait or are rejected", List.of("what", "why", "waiting"), why, why.size(), 0)),
+        return new View("Overview", figures, List.of(
+                new Table("why accesses wait or are rejected", List.of("what", "why", "waiting"), why, why.size(), 0),
+                new Table("service by category", TALLY, rows, rows.size(), 0)),
                 List.of(service(sight), lag()));
     }
 
--- a/rehearsal/src/test/java/milletyoke/rehearsal/ConsoleTest.java
+++ b/rehearsal/src/test/java/milletyoke/rehearsal/ConsoleTest.java
@@ -266,7 +266,7 @@
             assertTrue(took < 2_000, "they were named after " + took + " ms");
             String events = viewer.get("/api/v1/events?find=cold").body();
             cold.forEach(t -> assertTrue(events.contains(t), events));
-            String why = viewer.view("overview").get("tables").get(1).toString();
+            String why = viewer.view("overview").get("tables").get(0).toString();
             cold.forEach(t -> assertTrue(why.contains("\"" + t + "\",\"cold: held to what it surely bears\""), why));
             String notOn = viewer.view("overview").get("figures").get("not on").asText();
             cold.forEach(t -> assertTrue(notOn.contains(t + " cold"), notOn));
