--- /dev/null
+++ b/config/src/main/java/milletyoke/config/Quantity.java
@@ -0,0 +1,164 @@
+package milletyoke.config;
+
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** A figure with its dimension, in base units: microseconds, units, units a second, bytes, parts of one, or none. */
+public record Quantity(double figure, Dimension dimension) {
+    /** What a figure measures. */
+    public enum Dimension {
+        TIME("a time", "250ms"), UNITS("units", "36u"), RATE("units a second", "40u/s"), BYTES("bytes", "4MiB"),
+        SHARE("a share", "29%"), NONE("a bare number", "3");
+
+        private final String words;
+        private final String example;
+
+        Dimension(String words, String example) {
+            this.words = words;
+            this.example = example;
+        }
+
+        public String words() {
+            return words;
+        }
+
+        public String example() {
+            return example;
+        }
+    }
+
+    /** No figure of a configuration is larger; what is beyond is a slip. */
+    static final double MOST = 1e15;
+
+    private record Unit(Dimension dimension, double base) {}
+
+    private static final Map<String, Unit> UNITS = units();
+
+    private static Map<String, Unit> units() {
+        Map<String, Unit> all = new LinkedHashMap<>();
+        all.put("us", new Unit(Dimension.TIME, 1));
+        all.put("ms", new Unit(Dimension.TIME, 1e3));
+        all.put("s", new Unit(Dimension.TIME, 1e6));
+        all.put("min", new Unit(Dimension.TIME, 60e6));
+        all.put("h", new Unit(Dimension.TIME, 3600e6));
+        all.put("u", new Unit(Dimension.UNITS, 1));
+        all.put("ku", new Unit(Dimension.UNITS, 1e3));
+        all.put("u/s", new Unit(Dimension.RATE, 1));
+        all.put("ku/s", new Unit(Dimension.RATE, 1e3));
+        all.put("u/min", new Unit(Dimension.RATE, 1 / 60.0));
+        all.put("B", new Unit(Dimension.BYTES, 1));
+        all.put("KiB", new Unit(Dimension.BYTES, 1024));
+        all.put("MiB", new Unit(Dimension.BYTES, 1 << 20));
+        all.put("GiB", new Unit(Dimension.BYTES, 1 << 30));
+        all.put("%", new Unit(Dimension.SHARE, 0.01));
+        all.put("", new Unit(Dimension.NONE, 1));
+        return all;
+    }
+
+    /** What cannot be; the message is for people. */
+    static final class Wrong extends Exception {
+        private static final long serialVersionUID = 1L;
+        final String code;
+        final String hint;
+
+        Wrong(String code, String message, String hint) {
+            super(message);
+            this.code = code;
+            this.hint = hint;
+        }
+    }
+
+    static Quantity of(String text) throws Wrong {
+        int end = 0;
+        while (end < text.length() && (Character.isDigit(text.charAt(end)) || text.charAt(end) == '.')) {
+            end++;
+        }
+        String name = text.substring(end);
+        Unit unit = UNITS.get(name);
+        if (unit == null) {
+            throw new Wrong("unit", "\"" + name + "\" is no unit", "did you mean " + Names.nearest(name, UNITS.keySet())
+                    + "? Known are us, ms, s, min, h; u, ku; u/s, ku/s, u/min; B, KiB, MiB, GiB; %");
+        }
+        return checked(Double.parseDouble(text.substring(0, end)) * unit.base(), unit.dimension());
+    }
+
+    private static Quantity checked(double figure, Dimension dimension) throws Wrong {
+        if (!(Math.abs(figure) <= MOST)) {
+            throw new Wrong("range", "a figure over " + plain(MOST) + " in base units", "no such figure has a meaning here");
+        }
+        return new Quantity(figure, dimension);
+    }
+
+    Quantity plus(Quantity o, int sign) throws Wrong {
+        if (dimension != o.dimension) {
+            throw new Wrong("unit", dimension.words() + " and " + o.dimension.words() + " cannot be added", "");
+        }
+        return checked(figure + sign * o.figure, dimension);
+    }
+
+    Quantity times(Quantity o) throws Wrong {
+        if (dimension == Dimension.NONE || o.dimension == Dimension.NONE) {
+            return checked(figure * o.figure, dimension == Dimension.NONE ? o.dimension : dimension);
+        }
+        if (dimension == Dimension.SHARE || o.dimension == Dimension.SHARE) {
+            return checked(figure * o.figure, dimension == Dimension.SHARE ? o.dimension : dimension);
+        }
+        if (dimension == Dimension.RATE && o.dimension == Dimension.TIME
+                || dimension == Dimension.TIME && o.dimension == Dimension.RATE) {
+            return checked(figure * o.figure / 1e6, Dimension.UNITS);
+        }
+        throw new Wrong("unit", dimension.words() + " times " + o.dimension.words() + " is nothing known here", "");
+    }
+
+    Quantity over(Quantity o) throws Wrong {
+        if (o.figure == 0) {
+            throw new Wrong("range", "a division by 0", "");
+        }
+        if (o.dimension == Dimension.NONE) {
+            return checked(figure / o.figure, dimension);
+        }
+        if (dimension == o.dimension) {
+            return checked(figure / o.figure, Dimension.NONE);
+        }
+        if (dimension == Dimension.UNITS && o.dimension == Dimension.TIME) {
+            return checked(figure / (o.figure / 1e6), Dimension.RATE);
+        }
+        if (dimension == Dimension.UNITS && o.dimension == Dimension.RATE) {
+            return checked(figure / o.figure * 1e6, Dimension.TIME);
+        }
+        throw new Wrong("unit", dimension.words() + " over " + o.dimension.words() + " is nothing known here", "");
+    }
+
+    /** As an operator would write it: the largest unit that gives a short figure. */
+    @Override
+    public String toString() {
+        if (figure == 0 && dimension != Dimension.NONE) {
+            return "0" + smallest();
+        }
+        String best = null;
+        for (Map.Entry<String, Unit> u : UNITS.entrySet()) {
+            if (u.getValue().dimension() == dimension && !u.getKey().equals("u/min")) {
+                String text = plain(figure / u.getValue().base()) + u.getKey();
+                boolean exact = Double.parseDouble(plain(figure / u.getValue().base())) * u.getValue().base() == figure;
+                if (best == null || exact && text.length() <= best.length()) {
+                    best = text;
+                }
+            }
+        }
+        return best;
+    }
+
+    private String smallest() {
+        return UNITS.entrySet().stream().filter(u -> u.getValue().dimension() == dimension).findFirst().orElseThrow()
+                .getKey();
+    }
+
+    static String plain(double figure) {
+        if (figure == Math.rint(figure) && Math.abs(figure) <= MOST) {
+            return Long.toString((long) figure);
+        }
+        String text = new java.math.BigDecimal(Double.toString(figure)).stripTrailingZeros().toPlainString();
+        return text.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/config/src/main/java/milletyoke/config/Reader.java
@@ -0,0 +1,205 @@
+package milletyoke.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import milletyoke.config.Syntax.At;
+import milletyoke.config.grammar.FleetLexer;
+import milletyoke.config.grammar.FleetParser;
+import org.antlr.v4.runtime.BaseErrorListener;
+import org.antlr.v4.runtime.CharStreams;
+import org.antlr.v4.runtime.CommonTokenStream;
+import org.antlr.v4.runtime.ParserRuleContext;
+import org.antlr.v4.runtime.RecognitionException;
+import org.antlr.v4.runtime.Recognizer;
+import org.antlr.v4.runtime.Token;
+import org.antlr.v4.runtime.atn.PredictionMode;
+
+/**
+ * Text to syntax, with every finding of one pass. Bounded before the parser sees anything: size, nesting and the length
+ * of an expression, since the parser and all that walks its tree go as deep as the text does.
+ */
+final class Reader {
+    static final int LARGEST = 16 << 20, DEEPEST = 64, LONGEST_SUM = 256, MOST_FINDINGS = 200;
+
+    private final String file;
+    private final String text;
+    private final List<Finding> findings;
+    private List<String> lines;
+
+    private Reader(String file, String text, List<Finding> findings) {
+        this.file = file;
+        this.text = text;
+        this.findings = findings;
+    }
+
+    static Syntax.File read(String file, String text, List<Finding> findings) {
+        return new Reader(file, text, findings).read();
+    }
+
+    /** All tokens, remarks too; null where the text is beyond a bound, and that was found. */
+    static CommonTokenStream tokens(String file, String text, List<Finding> findings) {
+        Reader reader = new Reader(file, text, findings);
+        return reader.bounded() ? reader.lex() : null;
+    }
+
+    private CommonTokenStream lex() {
+        FleetLexer lexer = new FleetLexer(CharStreams.fromString(text, file));
+        lexer.removeErrorListeners();
+        CommonTokenStream tokens = new CommonTokenStream(lexer);
+        tokens.fill();
+        return shallow(tokens) ? tokens : null;
+    }
+
+    private boolean bounded() {
+        if (text.length() > LARGEST) {
+            found("size", 1, 1, "over " + LARGEST + " characters in one file", "split it and include the parts");
+        }
+        return text.length() <= LARGEST;
+    }
+
+    /** Guards the stack against text that nests without end; nothing that is meant needs more. */
+    private boolean shallow(CommonTokenStream tokens) {
+        int depth = 0, signs = 0, operators = 0;
+        for (Token t : tokens.getTokens()) {
+            if (t.getChannel() != Token.DEFAULT_CHANNEL) {
+                continue;
+            }
+            String s = t.getText();
+            depth += s.equals("(") || s.equals("{") ? 1 : s.equals(")") || s.equals("}") ? -1 : 0;
+            signs = s.equals("-") ? signs + 1 : 0;
+            operators = s.equals(";") || s.equals(",") || s.equals("}") || s.equals("{") ? 0
+                    : operators + (s.equals("+") || s.equals("-") || s.equals("*") || s.equals("/") ? 1 : 0);
+            if (depth > DEEPEST || signs > DEEPEST || operators > LONGEST_SUM) {
+                found("depth", t.getLine(), t.getCharPositionInLine() + 1, "nested deeper than " + DEEPEST
+                        + ", or over " + LONGEST_SUM + " operators in one figure", "name parts of it with let");
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private Syntax.File read() {
+        CommonTokenStream tokens = bounded() ? lex() : null;
+        if (tokens == null) {
+            return new Syntax.File(file, List.of());
+        }
+        FleetParser parser = new FleetParser(tokens);
+        parser.getInterpreter().setPredictionMode(PredictionMode.SLL);
+        parser.removeErrorListeners();
+        parser.addErrorListener(new BaseErrorListener() {
+            @Override
+            public void syntaxError(Recognizer<?, ?> r, Object symbol, int line, int column, String message,
+                    RecognitionException e) {
+                found("syntax", line, column + 1, words(message, symbol), "");
+            }
+        });
+        List<Syntax.Statement> statements = new ArrayList<>();
+        for (FleetParser.StatementContext s : parser.file().statement()) {
+            Syntax.Statement made = statement(s);
+            if (made != null) {
+                statements.add(made);
+            }
+        }
+        return new Syntax.File(file, statements);
+    }
+
+    private static String words(String message, Object symbol) {
+        if (symbol instanceof Token t && t.getType() == FleetLexer.OTHER) {
+            return "\"" + t.getText() + "\" (U+" + String.format("%04X", t.getText().codePointAt(0))
+                    + ") has no place here; names take letters a to z, digits, - and _";
+        }
+        return message.replaceAll("\\s+", " ").replace("<EOF>", "the end of the file");
+    }
+
+    private void found(String code, int line, int column, String message, String hint) {
+        if (findings.size() < MOST_FINDINGS) {
+            findings.add(new Finding(true, code, file, line, column, message, hint, line(line), List.of()));
+        }
+    }
+
+    private String line(int number) {
+        lines = lines == null ? text.lines().toList() : lines;
+        return number >= 1 && number <= lines.size() ? lines.get(number - 1) : "";
+    }
+
+    // ---- The parser's tree to ours; what it could not finish is left out, and was found ----
+
+    private At at(ParserRuleContext c) {
+        return at(c.getStart());
+    }
+
+    private At at(Token t) {
+        return new At(file, t.getLine(), t.getCharPositionInLine() + 1);
+    }
+
+    private Syntax.Statement statement(FleetParser.StatementContext s) {
+        if (s.exception != null) {
+            return null;
+        }
+        if (s instanceof FleetParser.IncludeFileContext c && c.STRING() != null) {
+            return new Syntax.Include(at(c), unquoted(c.STRING().getText()));
+        } else if (s instanceof FleetParser.ConstantContext c && c.NAME() != null) {
+            Syntax.Expression value = expression(c.expression());
+            return value == null ? null : new Syntax.Let(at(c), c.NAME().getText(), value);
+        } else if (s instanceof FleetParser.SingleContext c && c.body() != null) {
+            return new Syntax.Block(at(c), c.kind.getText(), "", null, null, settings(c.body()));
+        } else if (s instanceof FleetParser.BlockContext c && c.name != null && c.body() != null) {
+            return new Syntax.Block(at(c), c.kind.getText(), label(c.name), c.parent == null ? null : label(c.parent),
+                    c.parent == null ? null : at(c.parent), settings(c.body()));
+        } else if (s instanceof FleetParser.RouteContext c && c.pattern != null && c.pool != null) {
+            return new Syntax.Route(at(c), c.what.getText(), label(c.pattern), label(c.pool), at(c.pool));
+        }
+        return null;
+    }
+
+    private static String label(FleetParser.LabelContext c) {
+        return c.STRING() != null ? unquoted(c.STRING().getText()) : c.getText();
+    }
+
+    static String unquoted(String text) {
+        return text.length() < 2 ? "" : text.substring(1, text.length() - 1).replaceAll("\\\\([\"\\\\])", "$1");
+    }
+
+    private List<Syntax.Setting> settings(FleetParser.BodyContext body) {
+        List<Syntax.Setting> all = new ArrayList<>();
+        for (FleetParser.SettingContext s : body.setting()) {
+            if (s.exception != null || s.key() == null) {
+                continue;
+            }
+            List<Syntax.Value> values = new ArrayList<>();
+            for (FleetParser.ValueContext v : s.value()) {
+                Syntax.Expression e = v.expression() == null ? null : expression(v.expression());
+                if (v.STRING() != null || e != null) {
+                    values.add(new Syntax.Value(at(v), e, v.STRING() == null ? null : unquoted(v.STRING().getText())));
+                }
+            }
+            all.add(new Syntax.Setting(at(s), s.key().getText(), values));
+        }
+        return all;
+    }
+
+    private Syntax.Expression expression(FleetParser.ExpressionContext e) {
+        if (e instanceof FleetParser.QuantityContext c && c.QUANTITY() != null) {
+            return new Syntax.Figure(at(c), c.QUANTITY().getText());
+        } else if (e instanceof FleetParser.WordContext c && c.key() != null) {
+            return new Syntax.Word(at(c), c.key().getText());
+        } else if (e instanceof FleetParser.GroupContext c) {
+            return expression(c.expression());
+        } else if (e instanceof FleetParser.MinusContext c) {
+            Syntax.Expression of = expression(c.expression());
+            return of == null ? null : new Syntax.Minus(at(c), of);
+        } else if (e instanceof FleetParser.ProductContext c) {
+            return binary(at(c), c.op, c.left, c.right);
+        } else if (e instanceof FleetParser.SumContext c) {
+            return binary(at(c), c.op, c.left, c.right);
+        }
+        return null;
+    }
+
+    private Syntax.Expression binary(At at, Token op, FleetParser.ExpressionContext a, FleetParser.ExpressionContext b) {
+        Syntax.Expression left = expression(a);
+        Syntax.Expression right = expression(b);
+        return left == null || right == null || op == null ? null
+                : new Syntax.Binary(at, op.getText().charAt(0), left, right);
+    }
+}
--- /dev/null
+++ b/config/src/main/java/milletyoke/config/disk/DiskLibrary.java
@@ -0,0 +1,86 @@
+package milletyoke.config.disk;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.FileSystems;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.PathMatcher;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import milletyoke.config.Library;
+
+/** Files of a folder. The one name of a file is its real path, so two links to it are one file. */
+public final class DiskLibrary implements Library {
+    private static final int LARGEST = 64 << 20, MOST = 10_000, TRIES = 3;
+
+    /** The one name of a file that an operator named. */
+    public static String name(Path file) throws Unreadable {
+        try {
+            return file.toRealPath().toString();
+        } catch (NoSuchFileException missing) {
+            throw new Unreadable("there is no such file");
+        } catch (IOException failed) {
+            throw new Unreadable(String.valueOf(failed.getMessage()));
+        }
+    }
+
+    @Override
+    public List<String> find(String from, String pattern) throws Unreadable {
+        Path folder = Path.of(from).getParent();
+        boolean glob = pattern.matches(".*[*?\\[{].*");
+        try {
+            if (!glob) {
+                return List.of(name(folder.resolve(pattern)));
+            }
+            int slash = pattern.lastIndexOf('/');
+            Path in = slash < 0 ? folder : folder.resolve(pattern.substring(0, slash));
+            PathMatcher fits = FileSystems.getDefault().getPathMatcher("glob:" + pattern.substring(slash + 1));
+            List<Path> found = new ArrayList<>();
+            try (Stream<Path> all = Files.list(in)) {
+                all.filter(f -> fits.matches(f.getFileName()) && Files.isRegularFile(f)).limit(MOST).forEach(found::add);
+            }
+            found.sort(null);
+            List<String> names = new ArrayList<>();
+            for (Path f : found) {
+                names.add(name(f));
+            }
+            return names;
+        } catch (IllegalArgumentException bad) {
+            throw new Unreadable("not a pattern of files: " + bad.getMessage());
+        } catch (IOException failed) {
+            throw new Unreadable("there is no such folder, or it cannot be read");
+        }
+    }
+
+    /** Guards against half an edit: a file that changed while it was read is read again, and refused after three times. */
+    @Override
+    public String text(String file) throws Unreadable {
+        Path path = Path.of(file);
+        try {
+            for (int i = 0; i < TRIES; i++) {
+                BasicFileAttributes before = Files.readAttributes(path, BasicFileAttributes.class);
+                if (!before.isRegularFile() || before.size() > LARGEST) {
+                    throw new Unreadable(before.isRegularFile() ? "over " + LARGEST + " bytes" : "not a file");
+                }
+                byte[] bytes = Files.readAllBytes(path);
+                BasicFileAttributes after = Files.readAttributes(path, BasicFileAttributes.class);
+                if (after.size() == bytes.length && after.lastModifiedTime().equals(before.lastModifiedTime())) {
+                    return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+                }
+            }
+            throw new Unreadable("it changes while it is read");
+        } catch (CharacterCodingException notText) {
+            throw new Unreadable("it is not UTF-8 text");
+        } catch (NoSuchFileException missing) {
+            throw new Unreadable("there is no such file");
+        } catch (IOException failed) {
+            throw new Unreadable(String.valueOf(failed.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/config/src/test/java/milletyoke/config/Memory.java
@@ -0,0 +1,37 @@
+package milletyoke.config;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Files in memory; a pattern that ends in * finds by prefix. */
+final class Memory implements Library {
+    final Map<String, String> files = new LinkedHashMap<>();
+
+    Memory with(String name, String text) {
+        files.put(name, text);
+        return this;
+    }
+
+    @Override
+    public List<String> find(String from, String pattern) throws Unreadable {
+        List<String> found = files.keySet().stream().filter(f -> pattern.endsWith("*")
+                ? f.startsWith(pattern.substring(0, pattern.length() - 1)) : f.equals(pattern)).sorted().toList();
+        if (found.isEmpty()) {
+            throw new Unreadable("there is no such file");
+        }
+        return found;
+    }
+
+    @Override
+    public String text(String file) throws Unreadable {
+        if (!files.containsKey(file)) {
+            throw new Unreadable("there is no such file");
+        }
+        return files.get(file);
+    }
+
+    static Checker.Result check(String text) {
+        return Checker.check(new Memory().with("f", text), "f");
+    }
+}
--- a/gateway/src/main/java/milletyoke/gateway/console/Views.java
+++ b/gateway/src/main/java/milletyoke/gateway/console/Views.java
@@ -16,6 +16,7 @@
 import milletyoke.gateway.picture.Picture.Tally;
 import milletyoke.gateway.setup.Setup;
 import milletyoke.lifecycle.Condition;
+import milletyoke.port.Action;
 import milletyoke.port.Provisioning;
 
 /**
@@ -281,6 +282,11 @@
                 .forEach(h -> rows.add(List.of(clock(h.at()), h.kind(), h.what())));
         List<Table> tables = new ArrayList<>();
         tables.add(new Table("events", List.of("at", "kind", "what"), rows, seen.size(), ask.page()));
+        List<List<Object>> decided = new ArrayList<>();
+        p.decided().stream().filter(d -> d.volume() == null ? sight.all() : sight.sees(d.volume()))
+                .forEach(d -> decided.add(List.of(clock(d.at()), d.volume() == null ? "-" : d.volume(),
+                        words(d.action(), sight))));
+        tables.add(cut("latest decisions", List.of("at", "volume", "decided"), decided, Ask.FIRST));
         if (sight.all()) {
             List<List<Object>> deeds = new ArrayList<>();
             journal.latest().forEach(d -> deeds.add(0, List.of(d.at().toString(), d.who(), d.what(), d.whom())));
@@ -375,6 +381,19 @@
                 rows.size(), ask.page());
     }
 
+    private static String words(Action action, Sight sight) {
+        if (action instanceof Action.Relay a) {
+            return sight.all() ? "relay " + a.id() + " to " + a.target() : "relay";
+        } else if (action instanceof Action.Reject a) {
+            return (sight.all() ? "reject " + a.id() : "reject") + (a.retryIn() > 0 ? ", back in " + micros(a.retryIn()) : "");
+        } else if (action instanceof Action.BreakOff a) {
+            return sight.all() ? "break off " + a.id() : "break off";
+        } else if (action instanceof Action.Cancel a) {
+            return sight.all() ? "cancel relay " + a.relay() + " of " + a.id() : "cancel";
+        }
+        return action instanceof Action.Probe a ? "probe " + a.target() : String.valueOf(action);
+    }
+
     private static String words(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
--- a/gateway/src/main/java/milletyoke/gateway/loop/Ledger.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Ledger.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 import milletyoke.gateway.link.Outcomes;
 import milletyoke.gateway.picture.Accounts;
+import milletyoke.gateway.picture.Picture.Decided;
 import milletyoke.port.Action;
 import milletyoke.port.Event;
 import milletyoke.port.Outcome;
@@ -64,6 +65,8 @@
     private final java.util.PriorityQueue<Entry> byLastCall =
             new java.util.PriorityQueue<>(java.util.Comparator.comparingLong(e -> e.lastCall));
     private List<Event> events = new ArrayList<>();
+    private final Decided[] latest = new Decided[64];
+    private long noted;
     private int unanswered;
 
     /** @param mark what makes marks of this life unlike any other's, for accesses whose client gave none */
@@ -218,6 +221,7 @@
 
     void carryOut(long now, List<Action> actions) {
         for (Action action : actions) {
+            note(now, action);
             if (action instanceof Action.Relay a) {
                 relay(now, a);
             } else if (action instanceof Action.Reject a) {
@@ -238,6 +242,25 @@
         }
     }
 
+    /** Wake-ups and askings for the list are no news; of the rest the latest are kept, as they were decided. */
+    private void note(long now, Action action) {
+        String id = action instanceof Action.Relay a ? a.id() : action instanceof Action.Reject a ? a.id()
+                : action instanceof Action.BreakOff a ? a.id() : action instanceof Action.Cancel a ? a.id() : null;
+        if (id != null || action instanceof Action.Probe) {
+            Entry e = id == null ? null : entries.get(id);
+            latest[(int) (noted++ % latest.length)] = new Decided(now, action, e == null ? null : e.access.getVolume());
+        }
+    }
+
+    /** The latest decisions, the newest first. */
+    List<Decided> latest() {
+        List<Decided> all = new ArrayList<>();
+        for (long i = noted - 1; i >= Math.max(0, noted - latest.length); i--) {
+            all.add(latest[(int) (i % latest.length)]);
+        }
+        return all;
+    }
+
     private void relay(long now, Action.Relay a) {
         Entry e = entries.get(a.id());
         if (e == null || e.answered) {
--- a/gateway/src/main/java/milletyoke/gateway/picture/Painter.java
+++ b/gateway/src/main/java/milletyoke/gateway/picture/Painter.java
@@ -41,7 +41,7 @@
 
     /** What the loop knows beside the decisions. */
     public record Loop(Lifecycle lifecycle, int places, int held, int out, double used, long version, Histogram turns,
-            double costs, Function<String, String> listedAs, Function<String, Boolean> drainedHere) {}
+            double costs, List<Picture.Decided> decided, Function<String, String> listedAs, Function<String, Boolean> drainedHere) {}
 
     /** Notes something that no picture shows by itself. @param volume whose it is alone, or null */
     public void happened(long now, String kind, String what, String volume) {
@@ -76,7 +76,7 @@
                 loop.out(), loop.used(), loop.version(), Look.lateShare(decide), Look.furtherSuccess(decide),
                 loop.turns().getValueAtPercentile(50), loop.turns().getValueAtPercentile(99), List.copyOf(targets),
                 List.copyOf(Look.nodes(decide)), volumes, accounts.dirty(), events, accounts.categories(),
-                accounts.plans(), loop.costs());
+                accounts.plans(), loop.costs(), loop.decided());
     }
 
     private void tellChanges(long now, List<Picture.Target> targets, Lifecycle lifecycle) {
--- a/gateway/src/main/java/milletyoke/gateway/picture/Picture.java
+++ b/gateway/src/main/java/milletyoke/gateway/picture/Picture.java
@@ -5,6 +5,7 @@
 import milletyoke.Look;
 import milletyoke.lifecycle.Condition;
 import milletyoke.lifecycle.Lifecycle;
+import milletyoke.port.Action;
 import org.pcollections.PMap;
 import org.pcollections.PVector;
 
@@ -14,12 +15,13 @@
  * initiator's clock.
  *
  * @param behind volumes that changed and are not in it yet
+ * @param decided the latest decisions, the newest first
  * @param costs part of the loop's time that pictures and accounts took, of late
  */
 public record Picture(long at, String name, Condition condition, List<Lifecycle.Transition> transitions, int places,
         int held, int out, double used, long listVersion, double lateShare, double furtherSuccess, long turnP50,
         long turnP99, List<Target> targets, List<Look.NodeLook> nodes, PMap<String, Volume> volumes, int behind,
-        PVector<Happening> events, Map<String, Tally> categories, Map<String, Tally> plans, double costs) {
+        PVector<Happening> events, Map<String, Tally> categories, Map<String, Tally> plans, double costs, List<Decided> decided) {
 
     /** @param drainedHere taken out of service by an operator of this initiator alone */
     public record Target(Look.TargetLook look, boolean drainedHere, String listed, Tally tally) {
@@ -54,6 +56,9 @@
      */
     public record Happening(long at, String kind, String what, String volume) {}
 
+    /** One decision as it was made. @param volume whose access it was about, or null */
+    public record Decided(long at, Action action, String volume) {}
+
     /** Figures of one second of one series; times are of answers, in microseconds. */
     public record Second(int asked, int answered, int inTime, int rejected, int brokenOff, int p50, int p99) {}
 }
--- a/gateway/src/main/java/milletyoke/gateway/setup/Setup.java
+++ b/gateway/src/main/java/milletyoke/gateway/setup/Setup.java
@@ -1,6 +1,10 @@
 package milletyoke.gateway.setup;
 
 import java.nio.file.Path;
+import milletyoke.config.Checker;
+import milletyoke.config.Finding;
+import milletyoke.config.Library;
+import milletyoke.config.disk.DiskLibrary;
 
 /**
  * What one initiator is started with.
@@ -66,7 +70,7 @@
         Address listen = f.address("listen", null);
         Address discovery = f.address("discovery", null);
         Path folder = f.has("folder") ? base.resolve(f.text("folder", null)) : null;
-        Deployment deployment = Deployment.read(f.form("deployment"));
+        Deployment deployment = f.has("fleet") ? fleet(f, base) : Deployment.read(f.form("deployment"));
         Transport transport = transport(f.optional("transport"));
         Room room = room(f.optional("room"));
         Console console = f.has("console") ? console(f.form("console"), base) : null;
@@ -74,6 +78,24 @@
         return new Setup(name, number, listen, discovery, folder, deployment, transport, room, console);
     }
 
+    /** The deployment as the configuration language has it, in a file of its own. */
+    private static Deployment fleet(Form f, Path base) throws SetupError {
+        if (f.has("deployment")) {
+            throw f.wrong("fleet", "stands beside deployment; one of them says what the deployment is");
+        }
+        Path file = base.resolve(f.text("fleet", null));
+        try {
+            Checker.Result checked = Checker.check(new DiskLibrary(), DiskLibrary.name(file));
+            if (!checked.clean()) {
+                throw new SetupError(checked.findings().stream().filter(Finding::error).findFirst().orElseThrow().text()
+                        .strip());
+            }
+            return FromFleet.deployment(checked.fleet());
+        } catch (Library.Unreadable missing) {
+            throw f.wrong("fleet", file + ": " + missing.getMessage());
+        }
+    }
+
     private static Transport transport(Form t) throws SetupError {
         Transport transport = new Transport(t.time("connectTime", "250 ms"), t.time("idle", "30 s"),
                 t.whole("connections", 4, 1, 1000), t.whole("streams", 100, 1, 100_000), t.time("probeTime", "250 ms"),
