--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -99,6 +99,8 @@
     private void learn(Event event) {
         if (event instanceof Event.Start e) {
             start(e);
+        } else if (event instanceof Event.Reprovisioned e) {
+            reprovision(e.provisioning());
         } else if (event instanceof Event.TargetList e) {
             list(e);
         } else if (event instanceof Event.Access e) {
@@ -113,15 +115,45 @@
     }
 
     private void start(Event.Start e) {
-        given = e.provisioning();
-        bounds = given.bounds();
+        bounds = e.provisioning().bounds();
         chance = new SplittableRandom(e.seed());
         startedAt = now;
+        provision(e.provisioning());
+        crowd = given.initiators() * LATE_PART > 2;
+        askAt = given.listMustBeAsked() ? now : Long.MAX_VALUE;
+    }
+
+    private void provision(Provisioning next) {
+        given = next;
         given.categories().forEach(c -> categories.put(c.name(), c));
         shortestAgreed = given.categories().stream().mapToLong(Category::agreedTime).min().orElse(0);
         given.plans().forEach(p -> plans.put(p.name(), p));
-        crowd = given.initiators() * LATE_PART > 2;
-        askAt = given.listMustBeAsked() ? now : Long.MAX_VALUE;
+    }
+
+    /**
+     * New plans hold from now on, for what waits too. A limit's store is first filled by the plan it had and then
+     * holds no more than the new one allows. Guards rule 7 against a limit lowered and raised again, which would
+     * fill it at once, and against past time paid at a higher rate. Harms none but a volume whose limit rises: its
+     * store fills as time goes on.
+     */
+    private void reprovision(Provisioning next) {
+        limits.values().forEach(this::settle);
+        provision(next);
+        limits.values().forEach(this::settle);
+        held.values().forEach(h -> h.plan = plans.get(h.access.plan()));
+        nodes.values().forEach(n -> n.reservations.values().forEach(this::reweigh));
+    }
+
+    private void settle(Store s) {
+        Plan plan = plans.get(s.plan);
+        if (plan != null && plan.limitRate() > 0) {
+            fill(s, plan.limitRate() / s.hosts, limitDepth(plan) / s.hosts);
+        }
+    }
+
+    private void reweigh(Reservation r) {
+        r.weight = r.queue.isEmpty() ? r.weight : weight(r.queue.peekFirst().plan);
+        retag(r);
     }
 
     private void arrangeWake() {
@@ -235,7 +267,7 @@
     private void enqueue(Held h) {
         Node node = h.node;
         Reservation r = node.reservations.computeIfAbsent(h.access.volume(), v -> new Reservation());
-        r.weight = h.plan == null || h.plan.weight() <= 0 ? 1 : h.plan.weight();
+        r.weight = weight(h.plan);
         if (r.queue.isEmpty()) {
             r.start = Math.max(node.virtualTime, r.finish);
             double least = node.reservations.values().stream().filter(other -> !other.queue.isEmpty())
@@ -247,6 +279,10 @@
         node.waiting++;
     }
 
+    private static double weight(Plan plan) {
+        return plan == null || plan.weight() <= 0 ? 1 : plan.weight();
+    }
+
     /** Inside one volume importance goes first, then the newest: a backlog makes few very late, not all. */
     private static int placeIn(LinkedList<Held> queue, Held h) {
         double own = h.category.importance();
@@ -544,15 +580,25 @@
     /** This host's part of a volume's limit, with slack. A former life may have spent it: it starts empty. */
     private Store limit(Held h) {
         double hosts = Math.max(1, h.access.hosts());
-        double depth = h.plan.limitDepth() + SLACK_USED * h.plan.limitSlack();
-        return filled(limits, h, h.plan.limitRate() / hosts, depth / hosts);
+        Store s = filled(limits, h, h.plan.limitRate() / hosts, limitDepth(h.plan) / hosts);
+        s.plan = h.access.plan();
+        s.hosts = hosts;
+        return s;
+    }
+
+    private static double limitDepth(Plan plan) {
+        return plan.limitDepth() + SLACK_USED * plan.limitSlack();
     }
 
     private Store filled(Map<String, Store> stores, Held h, double rate, double depth) {
         Store s = stores.computeIfAbsent(h.access.volume(), v -> new Store());
+        fill(s, rate, depth);
+        return s;
+    }
+
+    private void fill(Store s, double rate, double depth) {
         s.units = Math.min(depth, s.units + rate * (now - Math.max(s.at, startedAt)) / 1e6);
         s.at = now;
-        return s;
     }
 
     // ---- Outcomes ----
--- a/core/src/main/java/milletyoke/State.java
+++ b/core/src/main/java/milletyoke/State.java
@@ -80,7 +80,7 @@
     static final class Held {
         final Event.Access access;
         final Category category;
-        final Plan plan;
+        Plan plan;
         Node node;
         long firstTaken;
         long agreedAt;
@@ -125,6 +125,9 @@
     static final class Store {
         double units;
         long at;
+        /** Whose plan fills it, and among how many hosts; null until it is first used. */
+        String plan;
+        double hosts;
     }
 
     /** What a cold target was sent, and when. */
--- a/core/src/main/java/milletyoke/port/Event.java
+++ b/core/src/main/java/milletyoke/port/Event.java
@@ -7,6 +7,12 @@
     /** The initiator starts with no memory of an earlier life. */
     record Start(long seed, Provisioning provisioning) implements Event {}
 
+    /**
+     * New figures for plans and categories while accesses are held; who sends it has seen to it that nothing else
+     * differs, and that no plan or category is gone.
+     */
+    record Reprovisioned(Provisioning provisioning) implements Event {}
+
     /** What discovery says of the targets. */
     record TargetList(Scope scope, List<Target> targets) implements Event {}
 
--- a/gateway/src/main/java/milletyoke/gateway/Initiator.java
+++ b/gateway/src/main/java/milletyoke/gateway/Initiator.java
@@ -4,10 +4,12 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import milletyoke.admission.Admission;
 import milletyoke.gateway.console.Console;
 import milletyoke.gateway.discovery.LastList;
 import milletyoke.gateway.discovery.Subscription;
+import milletyoke.gateway.fleet.Following;
 import milletyoke.gateway.ingress.Faults;
 import milletyoke.gateway.ingress.Gate;
 import milletyoke.gateway.ingress.Ingress;
@@ -16,6 +18,7 @@
 import milletyoke.gateway.loop.Loop;
 import milletyoke.gateway.loop.Told;
 import milletyoke.gateway.setup.Address;
+import milletyoke.gateway.setup.FromFleet;
 import milletyoke.gateway.setup.Setup;
 import milletyoke.gateway.setup.SetupError;
 import milletyoke.wire.BadFrame;
@@ -48,6 +51,7 @@
     private final Subscription subscription;
     private final ScheduledExecutorService side;
     private final Bounds toTargets;
+    private final Following following;
     private Console console;
 
     private Initiator(Setup setup, Tap tap) throws IOException {
@@ -67,6 +71,9 @@
         loop = new Loop(setup, this, Wire::micros, counts);
         faults = new Faults(counts, Wire::micros);
         ingress = new Ingress(setup, loop, counts, gate, faults);
+        following = setup.fleet() == null ? null : new Following(setup.fleet().file(), setup.folder(),
+                setup.fleet().fleet(), setup.fleet().files(), fleet -> loop.tell(new Told.Reprovision(
+                FromFleet.deployment(fleet).provisioning())));
         subscription = new Subscription(setup, wire, loop, side, seed());
         try {
             listener = wire.listen(setup.listen().host(), setup.listen().port(), Role.INITIATOR, ingress,
@@ -90,12 +97,15 @@
         made.loop.start(seed(), restored);
         if (setup.console() != null) {
             try {
-                made.console = new Console(setup.console(), setup, made.loop, made.counts);
+                made.console = new Console(setup.console(), setup, made.loop, made.counts, made.following);
             } catch (IOException | SetupError unusable) {
                 made.kill();
                 throw unusable;
             }
         }
+        if (made.following != null) {
+            made.side.scheduleWithFixedDelay(made.following::look, 500, 500, TimeUnit.MILLISECONDS);
+        }
         made.subscription.connect();
         LOG.info("{} takes accesses at {}:{}, {} targets known from before", setup.name(), setup.listen().host(),
                 made.port(), restored == null ? 0 : restored.getTargetCount());
@@ -193,6 +203,11 @@
         }
     }
 
+    @Override
+    public void provisioned(milletyoke.port.Provisioning provisioning) {
+        ingress.provision(provisioning);
+    }
+
     @Override
     public void freePlace(Line client, Access access, long stay) {
         gate.release(client, access, stay);
--- a/gateway/src/main/java/milletyoke/gateway/console/Console.java
+++ b/gateway/src/main/java/milletyoke/gateway/console/Console.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import milletyoke.gateway.fleet.Following;
 import milletyoke.gateway.loop.Counts;
 import milletyoke.gateway.loop.Loop;
 import milletyoke.gateway.loop.Told;
@@ -110,12 +111,12 @@
      * @throws IOException where its address cannot be had
      * @throws SetupError where its tokens cannot be used
      */
-    public Console(Setup.Console access, Setup setup, Loop loop, Counts counts) throws IOException, SetupError {
+    public Console(Setup.Console access, Setup setup, Loop loop, Counts counts, Following following) throws IOException, SetupError {
         this.loop = loop;
         tokens = new Tokens(access.tokens());
         rates = new Rates(access.rate(), 4 * access.rate());
         journal = new Journal(setup.folder());
-        views = new Views(setup, loop, journal, counts, Wire.micros());
+        views = new Views(setup, loop, journal, counts, following, Wire.micros());
         listener = new NetworkListener("console", access.listen().host(), access.listen().port());
         listener.setMaxHttpHeaderSize(8_192);
         listener.setMaxRequestHeaders(64);
--- a/gateway/src/main/java/milletyoke/gateway/console/Views.java
+++ b/gateway/src/main/java/milletyoke/gateway/console/Views.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import milletyoke.gateway.fleet.Following;
 import milletyoke.gateway.loop.Count;
 import milletyoke.gateway.loop.Counts;
 import milletyoke.gateway.loop.Loop;
@@ -53,10 +54,13 @@
     private final Loop loop;
     private final Journal journal;
     private final Counts counts;
+    /** Null where the deployment stands in the setup. */
+    private final Following following;
     private final Instant began = Instant.now();
     private final long beganMicros;
 
-    Views(Setup setup, Loop loop, Journal journal, Counts counts, long nowMicros) {
+    Views(Setup setup, Loop loop, Journal journal, Counts counts, Following following, long nowMicros) {
+        this.following = following;
         this.counts = counts;
         this.setup = setup;
         this.loop = loop;
@@ -71,6 +75,7 @@
         all.put("volumes", Views::volumes);
         all.put("categories", Views::categories);
         all.put("events", Views::events);
+        all.put("configuration", Views::configuration);
         all.put("setup", Views::setup);
         return java.util.Collections.unmodifiableMap(all);
     }
@@ -295,6 +300,30 @@
         return new View("Events", Map.of(), tables, List.of());
     }
 
+    /** The version in force, what it changed, and what stood in the way of one that was not taken. */
+    private View configuration(Sight sight, Ask ask) {
+        if (!sight.all() || following == null) {
+            return new View("Configuration", sight.all() ? Map.of("in", "the setup itself, read at the start") : Map.of(),
+                    List.of(), List.of());
+        }
+        Following.Standing s = following.standing();
+        Map<String, Object> figures = new LinkedHashMap<>();
+        figures.put("version", s.version());
+        figures.put("in force since", s.since().toString());
+        figures.put("last refused", s.refusedAt() == null ? "none" : s.refusedAt().toString());
+        List<Table> tables = new ArrayList<>();
+        tables.add(lines("refused, and why", s.refused(), Ask.FIRST));
+        tables.add(lines("changed by this version", s.applied(), Ask.FIRST));
+        tables.add(lines("in force", s.fleet().show().lines().toList(), ask));
+        return new View("Configuration", figures, tables, List.of());
+    }
+
+    private static Table lines(String name, List<String> lines, Ask ask) {
+        List<List<Object>> rows = new ArrayList<>();
+        lines.forEach(l -> rows.add(List.of(l)));
+        return cut(name, List.of("line"), rows, ask);
+    }
+
     private View setup(Sight sight, Ask ask) {
         Map<String, Object> figures = new LinkedHashMap<>();
         figures.put("initiator", setup.name());
--- a/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
@@ -34,8 +34,8 @@
     private final Setup setup;
     private final Loop loop;
     private final Counts counts;
-    private final Set<String> categories;
-    private final Set<String> plans;
+    private volatile Set<String> categories;
+    private volatile Set<String> plans;
     private final Gate gate;
     private final Faults faults;
     private volatile boolean leaving;
@@ -46,7 +46,11 @@
         this.loop = loop;
         this.counts = counts;
         this.gate = gate;
-        Provisioning given = setup.deployment().provisioning();
+        provision(setup.deployment().provisioning());
+    }
+
+    /** Accesses may name these categories and plans from now on; the decisions know them already. */
+    public void provision(Provisioning given) {
         categories = given.categories().stream().map(Provisioning.Category::name).collect(Collectors.toSet());
         plans = given.plans().stream().map(Provisioning.Plan::name).collect(Collectors.toSet());
     }
--- a/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
@@ -53,6 +53,9 @@
         /** An access no longer takes a place. */
         void freePlace(Line client, Access access, long stay);
 
+        /** New plans and categories are known to the decisions and may be asked for. */
+        void provisioned(milletyoke.port.Provisioning provisioning);
+
         /** The part of room that is taken, 0 to 1. */
         double roomUsed();
 
@@ -329,6 +332,11 @@
         } else if (told instanceof Told.Leave) {
             leaving = true;
             fact(new Fact.Leave());
+        } else if (told instanceof Told.Reprovision t) {
+            accounts.provision(t.provisioning());
+            ledger.happened(new Event.Reprovisioned(t.provisioning()));
+            painter.happened(now, "configuration", "a new version holds", null);
+            around.provisioned(t.provisioning());
         } else if (told instanceof Told.Drain t) {
             fact(t.on() ? new Fact.Drain(t.who()) : new Fact.Undrain(t.who()));
         } else if (told instanceof Told.DrainTarget t) {
--- a/gateway/src/main/java/milletyoke/gateway/loop/Told.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Told.java
@@ -40,6 +40,9 @@
     /** An operator takes a target out of service for this initiator alone, or puts it back. */
     record DrainTarget(String target, boolean on, String who) implements Told {}
 
+    /** A new version of the configuration holds from now on. */
+    record Reprovision(milletyoke.port.Provisioning provisioning) implements Told {}
+
     /** Anything else that must happen on the loop's thread. */
     record Do(Runnable task) implements Told {}
 }
--- a/gateway/src/main/java/milletyoke/gateway/picture/Accounts.java
+++ b/gateway/src/main/java/milletyoke/gateway/picture/Accounts.java
@@ -85,11 +85,16 @@
     private long second = -1;
 
     public Accounts(Provisioning given) {
+        provision(given);
+    }
+
+    /** Takes new categories and plans; those there are keep their sums. */
+    public void provision(Provisioning given) {
         given.categories().forEach(c -> {
             agreed.put(c.name(), c.agreedTime());
-            categories.put(c.name(), new Account());
+            categories.putIfAbsent(c.name(), new Account());
         });
-        given.plans().forEach(p -> plans.put(p.name(), new Account()));
+        given.plans().forEach(p -> plans.putIfAbsent(p.name(), new Account()));
     }
 
     /** How one access ended for its client. */
--- a/gateway/src/main/java/milletyoke/gateway/setup/Setup.java
+++ b/gateway/src/main/java/milletyoke/gateway/setup/Setup.java
@@ -1,8 +1,10 @@
 package milletyoke.gateway.setup;
 
 import java.nio.file.Path;
+import java.util.List;
 import milletyoke.config.Checker;
 import milletyoke.config.Finding;
+import milletyoke.config.Fleet;
 import milletyoke.config.Library;
 import milletyoke.config.disk.DiskLibrary;
 
@@ -12,16 +14,20 @@
  * @param number its number among the initiators of the deployment, from 1
  * @param folder where it keeps its last list and the journal of actions; null keeps none
  * @param console null where it has none
+ * @param fleet the configuration that the deployment was read from; null where it stands in the setup itself
  */
 public record Setup(String name, int number, Address listen, Address discovery, Path folder, Deployment deployment,
-        Transport transport, Room room, Console console) {
+        Transport transport, Room room, Console console, FleetFile fleet) {
 
     /** Without a console. */
     public Setup(String name, int number, Address listen, Address discovery, Path folder, Deployment deployment,
             Transport transport, Room room) {
-        this(name, number, listen, discovery, folder, deployment, transport, room, null);
+        this(name, number, listen, discovery, folder, deployment, transport, room, null, null);
     }
 
+    /** A checked configuration. @param files that it was read from */
+    public record FleetFile(String file, Fleet fleet, List<String> files) {}
+
     /** Where the console listens and who may look. @param rate requests a second for each token */
     public record Console(Address listen, Path tokens, double rate) {}
 
@@ -70,16 +76,17 @@
         Address listen = f.address("listen", null);
         Address discovery = f.address("discovery", null);
         Path folder = f.has("folder") ? base.resolve(f.text("folder", null)) : null;
-        Deployment deployment = f.has("fleet") ? fleet(f, base) : Deployment.read(f.form("deployment"));
+        FleetFile fleet = f.has("fleet") ? fleet(f, base) : null;
+        Deployment deployment = fleet != null ? FromFleet.deployment(fleet.fleet()) : Deployment.read(f.form("deployment"));
         Transport transport = transport(f.optional("transport"));
         Room room = room(f.optional("room"));
         Console console = f.has("console") ? console(f.form("console"), base) : null;
         f.done();
-        return new Setup(name, number, listen, discovery, folder, deployment, transport, room, console);
+        return new Setup(name, number, listen, discovery, folder, deployment, transport, room, console, fleet);
     }
 
     /** The deployment as the configuration language has it, in a file of its own. */
-    private static Deployment fleet(Form f, Path base) throws SetupError {
+    private static FleetFile fleet(Form f, Path base) throws SetupError {
         if (f.has("deployment")) {
             throw f.wrong("fleet", "stands beside deployment; one of them says what the deployment is");
         }
@@ -90,7 +97,7 @@
                 throw new SetupError(checked.findings().stream().filter(Finding::error).findFirst().orElseThrow().text()
                         .strip());
             }
-            return FromFleet.deployment(checked.fleet());
+            return new FleetFile(checked.files().get(0), checked.fleet(), checked.files());
         } catch (Library.Unreadable missing) {
             throw f.wrong("fleet", file + ": " + missing.getMessage());
         }
