--- a/gateway/src/main/java/milletyoke/gateway/fleet/Following.java
+++ b/gateway/src/main/java/milletyoke/gateway/fleet/Following.java
@@ -41,7 +41,7 @@
     private final String file;
     private final Path kept;
     private final Consumer<Fleet> apply;
-    private Map<String, FileTime> seen = new HashMap<>();
+    private Map<String, FileTime> seen = new HashMap<>(); // by name, in no order that matters
     private volatile Standing standing;
 
     /**
@@ -54,7 +54,8 @@
         this.kept = folder == null ? null : folder.resolve("fleet.in-force");
         this.apply = apply;
         standing = new Standing(fleet, 1, Instant.now(), List.of(), List.of(), null);
-        seen = times(files);
+        // Guards against a change between the reading and now: the first look checks anew whatever the times are.
+        files.forEach(f -> seen.put(f, FileTime.fromMillis(0)));
         keep(fleet);
     }
 
--- a/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -70,7 +70,7 @@
     private final Path consoleTokens;
     /** Plans as they are now; where their limits change, initiators follow a file. */
     private final List<Plan> plans = new ArrayList<>();
-    private final Setup.FleetFile fleetFile;
+    private volatile Setup.FleetFile fleetFile;
     private final Recorder recorder;
     private final Path folder;
     private final ScheduledThreadPoolExecutor clockwork = new ScheduledThreadPoolExecutor(3, task -> {
@@ -204,7 +204,8 @@
     private void startInitiator(int i) throws IOException {
         String name = "initiator-" + (i + 1);
         Setup setup = new Setup(name, i + 1, new Address("127.0.0.1", ports[i]),
-                new Address("127.0.0.1", discovery.port()), folder.resolve(name), day.deployment(),
+                new Address("127.0.0.1", discovery.port()), folder.resolve(name), fleetFile == null ? day.deployment()
+                : FromFleet.deployment(fleetFile.fleet()),
                 new Setup.Transport(250_000, 30_000_000, 4, 100, 250_000, 1 << 20, 8L << 20, 5_000_000, 2),
                 new Setup.Room(day.held(), 1 << 16, 1 << 16, 1e6, 3_600_000_000L),
                 consoleTokens == null ? null : new Setup.Console(new Address("127.0.0.1", 0), consoleTokens, 1000),
@@ -476,7 +477,7 @@
     private synchronized void changeLimit(Trouble t) throws IOException {
         plans.replaceAll(p -> p.name().equals(t.name()) ? new Plan(p.name(), p.reserve(), p.weight(), t.figure(),
                 t.range()[0], t.range()[1]) : p);
-        writeFleet();
+        fleetFile = writeFleet(); // who starts from now on reads this one
         note("stage", Note.Kind.BOUNDS, rules(), 0);
     }
 
--- a/rehearsal/src/test/java/milletyoke/rehearsal/AuditTest.java
+++ b/rehearsal/src/test/java/milletyoke/rehearsal/AuditTest.java
@@ -164,6 +164,18 @@
         named(7, "beyond its limit", bad);
     }
 
+    @Test
+    void rule7ALimitThatWasLoweredAndNotKept() {
+        List<Record> bad = new ArrayList<>(clean);
+        Record rules = first(r -> r.getNote().getKind() == Note.Kind.BOUNDS);
+        long asked = first(r -> initiator(r) && r.getFrame().hasRelay()).getAt();
+        bad.add(rules.toBuilder().setAt(asked + 500_000).setNote(rules.getNote().toBuilder().setText(rules.getNote()
+                .getText().replace("\"rate\":40.0", "\"rate\":1.0").replace("\"depth\":40.0", "\"depth\":1.0"))).build());
+        named(7, "beyond its limit", bad);
+        Audit.Report report = Audit.of(bad);
+        assertTrue(report.rule(7).nearest().startsWith("1 changes of limits"), report.rule(7).nearest());
+    }
+
     @Test
     void recordingWithoutItsRulesIsRefused() {
         List<Record> bad = clean.stream().filter(r -> r.getNote().getKind() != Note.Kind.BOUNDS).toList();
--- a/rehearsal/src/test/java/milletyoke/rehearsal/DaysTest.java
+++ b/rehearsal/src/test/java/milletyoke/rehearsal/DaysTest.java
@@ -16,7 +16,7 @@
 class DaysTest {
     @ParameterizedTest
     @ValueSource(strings = {"overlap-hang-restart-kill", "overlap-list-roll-burst", "overlap-resets-errors-still",
-        "list-unavailable", "give-up", "leave"})
+        "list-unavailable", "give-up", "leave", "limits-change"})
     void keepsEveryRule(String name) throws Exception {
         Path recording = Files.createTempFile("milletyoke-day", ".recording");
         try {
