--- a/config/src/main/java/milletyoke/config/Schema.java
+++ b/config/src/main/java/milletyoke/config/Schema.java
@@ -80,7 +80,7 @@
         all.put("tenant", fields("contact", new Field(free(false), "", Change.IN_SERVICE)));
         all.put("volume", fields("plan", new Field(name("plan"), null, Change.IN_SERVICE),
                 "tenant", new Field(name("tenant"), "", Change.IN_SERVICE),
-                "hosts", new Field(figure(Dimension.NONE, 1, 100_000), "1", Change.IN_SERVICE)));
+                "hosts", new Field(figure(Dimension.NONE, 1, 100_000), "1", Change.RESTART)));
         return java.util.Collections.unmodifiableMap(all);
     }
 
--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -580,6 +580,10 @@
     /** This host's part of a volume's limit, with slack. A former life may have spent it: it starts empty. */
     private Store limit(Held h) {
         double hosts = Math.max(1, h.access.hosts());
+        Store former = limits.get(h.access.volume());
+        if (former != null && !h.access.plan().equals(former.plan)) {
+            settle(former); // time under another plan is paid at that plan's rate
+        }
         Store s = filled(limits, h, h.plan.limitRate() / hosts, limitDepth(h.plan) / hosts);
         s.plan = h.access.plan();
         s.hosts = hosts;
--- a/gateway/src/main/java/milletyoke/gateway/Initiator.java
+++ b/gateway/src/main/java/milletyoke/gateway/Initiator.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import milletyoke.admission.Admission;
+import milletyoke.config.Fleet;
 import milletyoke.gateway.console.Console;
 import milletyoke.gateway.discovery.LastList;
 import milletyoke.gateway.discovery.Subscription;
@@ -72,8 +73,10 @@
         faults = new Faults(counts, Wire::micros);
         ingress = new Ingress(setup, loop, counts, gate, faults);
         following = setup.fleet() == null ? null : new Following(setup.fleet().file(), setup.folder(),
-                setup.fleet().fleet(), setup.fleet().files(), fleet -> loop.tell(new Told.Reprovision(
-                FromFleet.deployment(fleet).provisioning())));
+                setup.fleet().fleet(), setup.fleet().files(), this::follow);
+        if (setup.fleet() != null) {
+            ingress.configure(setup.fleet().fleet());
+        }
         subscription = new Subscription(setup, wire, loop, side, seed());
         try {
             listener = wire.listen(setup.listen().host(), setup.listen().port(), Role.INITIATOR, ingress,
@@ -112,6 +115,12 @@
         return made;
     }
 
+    /** A version that holds from now on: the decisions know its plans before any access can name one. */
+    private void follow(Fleet fleet) {
+        loop.tell(new Told.Reprovision(FromFleet.deployment(fleet).provisioning()));
+        loop.tell(new Told.Do(() -> ingress.configure(fleet)));
+    }
+
     private static long seed() {
         return ThreadLocalRandom.current().nextLong();
     }
--- a/gateway/src/main/java/milletyoke/gateway/console/Views.java
+++ b/gateway/src/main/java/milletyoke/gateway/console/Views.java
@@ -313,6 +313,7 @@
         figures.put("last refused", s.refusedAt() == null ? "none" : s.refusedAt().toString());
         List<Table> tables = new ArrayList<>();
         tables.add(lines("refused, and why", s.refused(), Ask.FIRST));
+        tables.add(lines("what the refused version would change", s.candidate(), Ask.FIRST));
         tables.add(lines("changed by this version", s.applied(), Ask.FIRST));
         tables.add(lines("in force", s.fleet().show().lines().toList(), ask));
         return new View("Configuration", figures, tables, List.of());
--- a/gateway/src/main/java/milletyoke/gateway/fleet/Following.java
+++ b/gateway/src/main/java/milletyoke/gateway/fleet/Following.java
@@ -33,10 +33,11 @@
      * What there is to tell of it.
      *
      * @param version counts the versions applied since the start, from 1
+     * @param candidate what that version would have changed, where it could be read
      * @param refused what stood in the way of the last version that was not taken; empty where it was
      */
     public record Standing(Fleet fleet, int version, Instant since, List<String> applied, List<String> refused,
-            Instant refusedAt) {}
+            List<String> candidate, Instant refusedAt) {}
 
     private final String file;
     private final Path kept;
@@ -53,7 +54,7 @@
         this.file = file;
         this.kept = folder == null ? null : folder.resolve("fleet.in-force");
         this.apply = apply;
-        standing = new Standing(fleet, 1, Instant.now(), List.of(), List.of(), null);
+        standing = new Standing(fleet, 1, Instant.now(), List.of(), List.of(), List.of(), null);
         // Guards against a change between the reading and now: the first look checks anew whatever the times are.
         files.forEach(f -> seen.put(f, FileTime.fromMillis(0)));
         keep(fleet);
@@ -87,28 +88,29 @@
         read.putAll(now); // what changed since it was looked at is looked at again
         seen = read;
         if (!checked.clean()) {
-            refuse(checked.findings().stream().filter(Finding::error).map(Finding::text).toList());
+            refuse(checked.findings().stream().filter(Finding::error).map(Finding::text).toList(), List.of());
             return;
         }
         Change change = Change.judge(standing.fleet(), checked.fleet());
         if (change instanceof Change.Refuse r) {
-            refuse(r.why());
+            refuse(r.why(), r.changes());
         } else if (change instanceof Change.Apply a) {
             List<String> told = a.changes().stream().map(Difference.Change::text).limit(TOLD).toList();
             apply.accept(a.fleet());
             keep(a.fleet());
-            standing = new Standing(a.fleet(), standing.version() + 1, Instant.now(), told, List.of(), null);
+            standing = new Standing(a.fleet(), standing.version() + 1, Instant.now(), told, List.of(), List.of(), null);
             LOG.info("version {} of {} holds: {}", standing.version(), file, told);
         } else if (!standing.refused().isEmpty()) {
             Standing s = standing;
-            standing = new Standing(s.fleet(), s.version(), s.since(), s.applied(), List.of(), null);
+            standing = new Standing(s.fleet(), s.version(), s.since(), s.applied(), List.of(), List.of(), null);
         }
     }
 
-    private void refuse(List<String> why) {
+    private void refuse(List<String> why, List<Difference.Change> changes) {
         List<String> told = new ArrayList<>(why.subList(0, Math.min(TOLD, why.size())));
         Standing s = standing;
-        standing = new Standing(s.fleet(), s.version(), s.since(), s.applied(), List.copyOf(told), Instant.now());
+        standing = new Standing(s.fleet(), s.version(), s.since(), s.applied(), List.copyOf(told),
+                changes.stream().map(Difference.Change::text).limit(TOLD).toList(), Instant.now());
         LOG.error("a new version of {} is refused, version {} stays in force: {}", file, s.version(), told);
     }
 
--- a/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import milletyoke.admission.Admission;
+import milletyoke.config.Fleet;
 import milletyoke.gateway.loop.Count;
 import milletyoke.gateway.loop.Counts;
 import milletyoke.gateway.loop.Loop;
@@ -39,6 +40,7 @@
     private final Gate gate;
     private final Faults faults;
     private volatile boolean leaving;
+    private volatile Fleet fleet;
 
     public Ingress(Setup setup, Loop loop, Counts counts, Gate gate, Faults faults) {
         this.faults = faults;
@@ -49,6 +51,19 @@
         provision(setup.deployment().provisioning());
     }
 
+    /** Where the configuration names a volume, its plan and hosts are what that says, whatever a client says. */
+    public void configure(Fleet fleet) {
+        this.fleet = fleet;
+    }
+
+    private Access configured(Access a) {
+        Fleet.Block volume = fleet == null ? null : fleet.volume(a.getVolume());
+        if (volume == null) {
+            return a;
+        }
+        return a.toBuilder().setPlan(volume.text("plan")).setHosts((int) volume.figure("hosts")).build();
+    }
+
     /** Accesses may name these categories and plans from now on; the decisions know them already. */
     public void provision(Provisioning given) {
         categories = given.categories().stream().map(Provisioning.Category::name).collect(Collectors.toSet());
@@ -68,7 +83,7 @@
     @Override
     public void got(Peer peer, Frame frame) throws BadFrame {
         switch (frame.getBodyCase()) {
-            case ACCESS -> access(peer, frame.getAccess());
+            case ACCESS -> access(peer, configured(frame.getAccess()));
             case LEAVE -> loop.tell(new Told.Left(peer, frame.getLeave().getNumber()));
             default -> throw new BadFrame("a client sends accesses and leaves, not " + frame.getBodyCase());
         }
--- a/gateway/src/test/java/milletyoke/gateway/fleet/FollowingTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/fleet/FollowingTest.java
@@ -99,6 +99,7 @@
         write("plans.fleet", "plan basic { limit-rate 30u/s; limit-depth 30u; }\n");
         following.look();
         assertTrue(following.standing().refused().get(0).endsWith("needs a restart"), following.standing().refused().toString());
+        assertEquals(3, following.standing().candidate().size(), "two figures of the plan and the initiators");
         write("main.fleet", FIRST.replaceAll("category write.*\n", ""));
         following.look();
         assertTrue(following.standing().refused().stream().anyMatch(r -> r.endsWith("accesses of it may be held")),
