--- a/rehearsal/src/test/java/milletyoke/rehearsal/HardCasesTest.java
+++ b/rehearsal/src/test/java/milletyoke/rehearsal/HardCasesTest.java
@@ -367,6 +367,34 @@
         assertNotEquals(0, again.getVersion());
     }
 
+    @Test
+    void configurationThatDropsAVolumeAndAPoolLetsWhatIsHeldFinish() throws Exception {
+        String rest = "fleet { initiators 1; }\ncategory slow { repeats one-shot; agreed 5s; }\nplan basic { weight 2; }\n"
+                + "plan other { weight 1; }\n";
+        Path file = java.nio.file.Files.writeString(folder.resolve("main.fleet"), rest
+                + "pool p { targets a; }\nvolume v { plan other; hosts 1; }\nroute volume v to p;\n");
+        Thread.sleep(50);
+        var checked = milletyoke.config.Checker.check(new milletyoke.config.disk.DiskLibrary(),
+                milletyoke.config.disk.DiskLibrary.name(file));
+        var fleet = new Setup.FleetFile(checked.files().get(0), checked.fleet(), checked.files());
+        Setup.Room room = new Setup.Room(10, 256, 10, 1e6, 1L << 40);
+        try (Puppets p = new Puppets(Puppets.transport(5_000_000), room, folder.resolve("state"), fleet)) {
+            Puppets.End a = p.target("a", 0);
+            p.ask(p.client, "slow", 0, 8000);
+            Puppets.Got relay = a.nextRelay();
+            Puppets.until(() -> p.initiator.loop().picture().volumes().containsKey("v"), "the volume is accounted");
+            assertEquals("other", p.initiator.loop().picture().volumes().get("v").plan(), "the file's, not the client's");
+            java.nio.file.Files.writeString(file, rest + "category fresh { repeats harmless; agreed 1s; }\n");
+            Puppets.until(() -> p.initiator.loop().picture().events().stream()
+                    .anyMatch(e -> e.kind().equals("configuration")), "the new version holds");
+            Puppets.reply(relay, Outcome.SUCCEEDED);
+            assertEquals(Final.ANSWERED, p.client.nextAnswer(3000).getFinal());
+            p.ask(p.client, "fresh", 0, 1000);
+            Puppets.reply(a.nextRelay(), Outcome.SUCCEEDED);
+            assertEquals(Final.ANSWERED, p.client.nextAnswer(3000).getFinal(), "a category that came in service");
+        }
+    }
+
     @Test
     void targetThatSendsWhatNoTargetSendsLosesItsConnection() throws Exception {
         try (Puppets p = new Puppets()) {
--- a/rehearsal/src/test/java/milletyoke/rehearsal/Puppets.java
+++ b/rehearsal/src/test/java/milletyoke/rehearsal/Puppets.java
@@ -11,6 +11,7 @@
 import milletyoke.gateway.setup.Address;
 import milletyoke.gateway.setup.Deployment;
 import milletyoke.gateway.setup.Form;
+import milletyoke.gateway.setup.FromFleet;
 import milletyoke.gateway.setup.Setup;
 import milletyoke.standins.Discovery;
 import milletyoke.wire.Bounds;
@@ -88,11 +89,18 @@
     private long number;
 
     Puppets(Setup.Transport transport, Setup.Room room, Path folder) throws Exception {
+        this(transport, room, folder, null);
+    }
+
+    /** @param fleet a configuration that the initiator follows, in place of the usual deployment */
+    Puppets(Setup.Transport transport, Setup.Room room, Path folder, Setup.FleetFile fleet) throws Exception {
         discovery = new Discovery(0, 1, clockwork, Tap.NONE);
         wire = new Wire("puppets", 2, Tap.NONE);
-        Deployment deployment = Deployment.read(Form.of("test", DEPLOYMENT));
+        Deployment deployment = fleet == null ? Deployment.read(Form.of("test", DEPLOYMENT))
+                : FromFleet.deployment(fleet.fleet());
         initiator = Initiator.start(new Setup("initiator-1", 1, new Address("127.0.0.1", 0),
-                new Address("127.0.0.1", discovery.port()), folder, deployment, transport, room), Tap.NONE);
+                new Address("127.0.0.1", discovery.port()), folder, deployment, transport, room, null, fleet),
+                Tap.NONE);
         connect(client);
     }
 
