The module's work goes over what waits and what is out, with equal actions

Reservations that wait and accesses with a relay out are ordered sets now, in the order in which they were gone over before; nothing late is looked for before the earliest agreed time; a shard without a holder is passed over. A differential test plays 24 random streams of 4,000 calls beside the module from before: equal actions, call by call.

--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -70,6 +70,9 @@
 
     final Map<Integer, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Held> held = new LinkedHashMap<>();
+    /** Those with a relay out, in the order of taking. */
+    private final TreeMap<Long, Held> outs = new TreeMap<>();
+    private long takenInAll;
     final Map<String, Store> limits = new HashMap<>(), reserves = new HashMap<>();
     private final Map<String, Turns> turns = new HashMap<>();
     private final Map<String, Long> longestTtl = new HashMap<>();
@@ -89,7 +92,7 @@
         todo = new ArrayList<>();
         happened.forEach(this::learn);
         IntStream.range(0, targets.count).forEach(this::watchForSilence);
-        held.values().forEach(this::watchForLoss);
+        outs.values().forEach(this::watchForLoss);
         nodes.values().stream().filter(n -> n.waiting > 0).forEach(this::serve);
         followList();
         arrangeWake();
@@ -131,10 +134,10 @@
     }
 
     /**
-     * New plans hold from now on, for what waits too. A limit's store is first filled by the plan it had and then
-     * holds no more than the new one allows. Guards rule 7 against a limit lowered and raised again, which would
-     * fill it at once, and against past time paid at a higher rate. Harms none but a volume whose limit rises: its
-     * store fills as time goes on.
+     * New plans hold from now on, for what waits too. A limit's store is first filled by the plan it had, then
+     * holds no more than the new one allows. Guards rule 7 against a limit lowered and raised again, which
+     * would fill it at once, and against past time paid at a higher rate. Harms none but a volume whose limit
+     * rises: its store fills as time goes on.
      */
     private void reprovision(Provisioning next) {
         limits.values().forEach(this::settle);
@@ -230,7 +233,7 @@
 
     private void take(Event.Access e) {
         Category category = categories.get(e.category());
-        Held h = new Held(e, category, plans.get(e.plan()));
+        Held h = new Held(e, takenInAll++, category, plans.get(e.plan()));
         h.abandonAt = now + e.ttl();
         long longest = longestTtl.merge(category.name(), e.ttl(), Math::max);
         boolean impatient = e.ttl() < category.agreedTime(); // a repeat that late would hardly be in time
@@ -266,17 +269,19 @@
 
     private void enqueue(Held h) {
         Node node = h.node;
-        Reservation r = node.reservations.computeIfAbsent(h.access.volume(), v -> new Reservation());
+        Reservation r = node.reservations.computeIfAbsent(h.access.volume(),
+                v -> new Reservation(node.reservations.size()));
         r.weight = weight(h.plan);
         if (r.queue.isEmpty()) {
             r.start = Math.max(node.virtualTime, r.finish);
-            double least = node.reservations.values().stream().filter(other -> !other.queue.isEmpty())
-                    .mapToDouble(other -> other.extra).min().orElse(r.extra);
+            double least = node.waitingHere.stream().mapToDouble(other -> other.extra).min().orElse(r.extra);
             r.extra = Math.max(r.extra, least);
         }
         r.queue.add(placeIn(r.queue, h), h);
         retag(r);
         node.waiting++;
+        node.waitingHere.add(r);
+        node.earliestAgreed = Math.min(node.earliestAgreed, h.agreedAt);
     }
 
     private static double weight(Plan plan) {
@@ -301,6 +306,9 @@
     private static void dequeue(Held h, Reservation r) {
         r.queue.remove(h);
         h.node.waiting--;
+        if (r.queue.isEmpty()) {
+            h.node.waitingHere.remove(r);
+        }
         retag(r);
     }
 
@@ -360,12 +368,17 @@
     private List<Held> takeLate(Node node) {
         double expected = expected(node.target);
         List<Held> late = new ArrayList<>();
-        for (Reservation r : node.reservations.values()) {
+        if (now + expected <= node.earliestAgreed) {
+            return late;
+        }
+        for (Reservation r : List.copyOf(node.waitingHere)) {
             for (Held h : r.queue.stream().filter(w -> now + expected > w.agreedAt).toList()) {
                 dequeue(h, r);
                 late.add(h);
             }
         }
+        node.earliestAgreed = node.waitingHere.stream().flatMap(r -> r.queue.stream())
+                .mapToLong(w -> w.agreedAt).min().orElse(Long.MAX_VALUE);
         return late;
     }
 
@@ -374,6 +387,9 @@
         int room = roomAt(node);
         int most = Math.min(BASE_BATCH, (room + 1) / 2);
         List<Held> base = new ArrayList<>();
+        if (node.target < 0) {
+            return false; // nobody holds the shard
+        }
         for (Reservation r = leastFinish(node); base.size() < most && r != null; r = leastFinish(node)) {
             Held h = sendable(node, r);
             node.virtualTime = r.start;
@@ -401,7 +417,7 @@
     private Reservation leastFinish(Node node) {
         Reservation least = null;
         boolean leastOwed = false;
-        for (Reservation r : node.reservations.values()) {
+        for (Reservation r : node.waitingHere) {
             Held h = sendable(node, r);
             boolean owed = h != null && isOwed(h);
             boolean first = least == null || (owed == leastOwed ? r.finish < least.finish : owed);
@@ -433,7 +449,7 @@
         if (room <= 0 || extent == null || beside.category.keyOrdered()) {
             return null;
         }
-        for (Reservation r : node.reservations.values()) {
+        for (Reservation r : node.waitingHere) {
             for (Held h : r.queue) {
                 if (extent.equals(h.access.extent()) && !h.category.keyOrdered() && mayRelay(h, node.target)
                         && fits(h, node.target) && withinMargin(node, r, step(r, h))) {
@@ -449,8 +465,8 @@
     /** Whether the widest gap of waiting volumes' extra tags stays within the margin after one step. */
     private boolean withinMargin(Node node, Reservation one, double step) {
         double least = one.extra + step, most = least, lightest = one.weight;
-        for (Reservation r : node.reservations.values()) {
-            if (r != one && !r.queue.isEmpty()) {
+        for (Reservation r : node.waitingHere) {
+            if (r != one) {
                 least = Math.min(least, r.extra);
                 most = Math.max(most, r.extra);
                 lightest = Math.min(lightest, r.weight);
@@ -489,6 +505,7 @@
         h.outLife = targets.life[t];
         h.sentAt = now;
         targets.out[t]++;
+        outs.put(h.taken, h);
         todo.add(new Action.Relay(h.access.id(), h.abandonAt, targets.id[t]));
         return true;
     }
@@ -614,6 +631,7 @@
         }
         int t = h.outAt;
         h.outAt = -1;
+        outs.remove(h.taken);
         giveRoom(h, t);
         judge(t, h, e);
         boolean mayStillRun = MAY_STILL_RUN.contains(e.outcome());
--- a/core/src/main/java/milletyoke/State.java
+++ b/core/src/main/java/milletyoke/State.java
@@ -3,10 +3,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 import milletyoke.port.Event;
 import milletyoke.port.Provisioning.Category;
 import milletyoke.port.Provisioning.Plan;
@@ -79,6 +81,8 @@
     /** One access from taking to its final answer, and on until its last relay has an outcome. */
     static final class Held {
         final Event.Access access;
+        /** Its place in the order of taking. */
+        final long taken;
         final Category category;
         Plan plan;
         Node node;
@@ -97,8 +101,9 @@
         /** Its relay is out, and presumed lost. */
         boolean lost;
 
-        Held(Event.Access access, Category category, Plan plan) {
+        Held(Event.Access access, long taken, Category category, Plan plan) {
             this.access = access;
+            this.taken = taken;
             this.category = category;
             this.plan = plan;
         }
@@ -110,15 +115,24 @@
         int waiting;
         double virtualTime;
         final Map<String, Reservation> reservations = new LinkedHashMap<>();
+        /** Those of them that wait, in the order in which they were made. */
+        final TreeSet<Reservation> waitingHere = new TreeSet<>(Comparator.comparingInt(r -> r.made));
+        /** No access that waits has an earlier agreed time. */
+        long earliestAgreed = Long.MAX_VALUE;
     }
 
     /** A volume's reservation queue at one node, with its three tags. */
     static final class Reservation {
+        final int made;
         final LinkedList<Held> queue = new LinkedList<>();
         double weight;
         double start;
         double finish;
         double extra;
+
+        Reservation(int made) {
+            this.made = made;
+        }
     }
 
     /** Units that fill up at a rate, as they stood at a time. */
--- /dev/null
+++ b/core/src/test/java/milletyoke/DifferentialTest.java
@@ -0,0 +1,156 @@
+package milletyoke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import milletyoke.port.Action;
+import milletyoke.port.Event;
+import milletyoke.port.Outcome;
+import milletyoke.port.Provisioning;
+import milletyoke.port.Provisioning.*;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The module beside the one from before its work was put in step with what happens (package reference): the same long
+ * random streams of events, and equal actions call by call.
+ */
+class DifferentialTest {
+    /** A random world that answers what the module does; it knows nothing of which module that is. */
+    private static final class World {
+        final SplittableRandom chance;
+        final Provisioning given;
+        final int shards, volumes;
+        final List<Action.Relay> out = new ArrayList<>();
+        final List<String> probes = new ArrayList<>();
+        final java.util.Map<String, Integer> relays = new java.util.HashMap<>();
+        long now = 1_000_000_000L;
+        long next;
+
+        World(long seed) {
+            chance = new SplittableRandom(seed);
+            shards = 1 + chance.nextInt(8);
+            volumes = 1 + chance.nextInt(60);
+            boolean cold = chance.nextBoolean();
+            List<Category> categories = List.of(
+                    new Category("read", Repeats.HARMLESS, Group.ALL, 0, false, 300_000, 2),
+                    new Category("write", Repeats.ONE_SHOT, Group.ALL, 0, false, 500_000, 2),
+                    new Category("save", Repeats.STAMPED, Group.ZONE, 2_500_000, chance.nextBoolean(), 500_000, 1),
+                    new Category("bulk", Repeats.HARMLESS, Group.ALL, 0, false, 1_500_000, 1));
+            List<Plan> plans = List.of(new Plan("free", 0, 1, 0, 0, 0), new Plan("paid", 6, 2, 0, 0, 0),
+                    new Plan("capped", 1, 1, 20, 25, 4));
+            given = new Provisioning(chance.nextBoolean() ? 3 : 40, categories, plans, new Allowances(1 + chance.nextInt(3),
+                    chance.nextBoolean(), chance.nextBoolean(), chance.nextBoolean(), 500_000),
+                    new Bounds(chance.nextBoolean() ? 200_000 : 0, cold ? 5_000_000 : 0, 0.3, cold ? 10 : 0,
+                    cold ? 1_000_000 : 0, 2, 10, 0.1, chance.nextBoolean() ? 2_000_000 : 0, 10_000_000), chance.nextBoolean());
+        }
+
+        List<Event> start() {
+            List<Event> events = new ArrayList<>();
+            events.add(new Event.Start(chance.nextLong(), given));
+            events.add(list(Event.Scope.RESTORED));
+            return events;
+        }
+
+        Event list(Event.Scope scope) {
+            List<Event.Target> targets = new ArrayList<>();
+            for (int s = 0; s < shards; s++) {
+                if (scope != Event.Scope.UPDATE || chance.nextInt(shards) == 0) {
+                    boolean fresh = chance.nextInt(6) == 0;
+                    Event.Health health = chance.nextInt(8) == 0 ? Event.Health.DRAINING : Event.Health.ON;
+                    targets.add(new Event.Target(s, "t" + s + (chance.nextInt(5) == 0 ? "n" : ""), "z" + s % 2, health,
+                            fresh ? now - chance.nextInt(2_000_000) : 0));
+                }
+            }
+            return new Event.TargetList(scope, targets);
+        }
+
+        List<Event> step() {
+            now += chance.nextInt(50) == 0 ? chance.nextInt(400_000) : chance.nextInt(6_000);
+            List<Event> events = new ArrayList<>();
+            for (int i = chance.nextInt(5); i > 0; i--) {
+                events.add(event());
+            }
+            if (events.isEmpty()) {
+                events.add(new Event.Alarm());
+            }
+            return events;
+        }
+
+        private Event event() {
+            int kind = chance.nextInt(100);
+            if (kind < 45) {
+                return access();
+            } else if (kind < 85 && !out.isEmpty()) {
+                return ended();
+            } else if (kind < 90 && !probes.isEmpty()) {
+                boolean ok = chance.nextInt(5) > 0;
+                return new Event.Probed(probes.remove(chance.nextInt(probes.size())), ok ? Outcome.SUCCEEDED
+                        : Outcome.TIMED_OUT, 1000 + chance.nextInt(90_000), chance.nextInt(3) == 0 ? -1 : chance.nextInt(30));
+            } else if (kind == 90) {
+                return list(chance.nextBoolean() ? Event.Scope.UPDATE : Event.Scope.REPLACE);
+            } else if (kind == 91) {
+                return new Event.TargetList(Event.Scope.UNAVAILABLE, List.of());
+            } else if (kind == 92 && next > 0) {
+                return new Event.Over("r" + (next - 1 - chance.nextInt((int) Math.min(next, 30))));
+            } else if (kind == 93) {
+                List<Plan> plans = new ArrayList<>(given.plans());
+                plans.set(2, new Plan("capped", 1, 1 + chance.nextInt(3), 5 + chance.nextInt(40), 5 + chance.nextInt(30), 2));
+                return new Event.Reprovisioned(new Provisioning(given.initiators(), given.categories(), plans,
+                        given.allowances(), given.bounds(), given.listMustBeAsked()));
+            }
+            return new Event.Alarm();
+        }
+
+        private Event access() {
+            String category = given.categories().get(chance.nextInt(4)).name();
+            int shard = chance.nextInt(10) == 0 ? -1 : chance.nextInt(shards);
+            String extent = chance.nextInt(3) == 0 ? null : "x" + chance.nextInt(12);
+            long ttl = chance.nextInt(6) == 0 ? 20_000 + chance.nextInt(300_000) : 2_500_000;
+            return new Event.Access("r" + next++, shard, extent, "v" + chance.nextInt(volumes), ttl,
+                    given.plans().get(chance.nextInt(3)).name(), category, 1 + chance.nextInt(3), 1 + chance.nextInt(4));
+        }
+
+        private Event ended() {
+            Action.Relay r = out.remove(chance.nextInt(Math.min(out.size(), 6)));
+            Outcome[] all = Outcome.values();
+            Outcome how = chance.nextInt(4) > 0 ? Outcome.SUCCEEDED : all[chance.nextInt(all.length)];
+            int relay = relays.get(r.id()) - 1;
+            return new Event.Ended(r.id(), relay, how == Outcome.SUCCEEDED, how, 2_000 + chance.nextInt(chance.nextInt(8) == 0
+                    ? 400_000 : 30_000));
+        }
+
+        void did(List<Action> actions) {
+            for (Action a : actions) {
+                if (a instanceof Action.Relay r) {
+                    out.add(r);
+                    relays.merge(r.id(), 1, Integer::sum);
+                } else if (a instanceof Action.Probe p) {
+                    probes.add(p.target());
+                }
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
+    void equalActionsCallByCall(int seed) {
+        World world = new World(seed);
+        Decide now = new Decide();
+        milletyoke.reference.Decide before = new milletyoke.reference.Decide();
+        List<Event> events = world.start();
+        long relays = 0;
+        for (int step = 0; step < 4_000; step++) {
+            List<Action> expected = before.decide(world.now, events);
+            List<Action> told = now.decide(world.now, events);
+            int at = step;
+            assertEquals(expected, told, () -> "seed " + seed + ", step " + at);
+            world.did(told);
+            relays += told.stream().filter(a -> a instanceof Action.Relay).count();
+            events = world.step();
+        }
+        assertEquals(true, relays > 500, relays + " relays only");
+    }
+}
