Connections of one participant are bounded: what is beyond is closed as it comes

Reading the change over for memory that a peer can make grow: frames, places, queues and waiting bytes had bounds, the number of connections had none. 16,384 at once now, of clients and of stand-ins' peers alike; a place that comes free may be taken again.

--- a/wire/src/main/java/milletyoke/wire/FrameFilter.java
+++ b/wire/src/main/java/milletyoke/wire/FrameFilter.java
@@ -18,6 +18,10 @@
     public NextAction handleRead(FilterChainContext ctx) throws IOException {
         Buffer bytes = ctx.getMessage();
         Peer peer = PeerFilter.peerOf(ctx.getConnection());
+        if (peer == null) {
+            bytes.tryDispose(); // it was turned away as it came
+            return ctx.getStopAction();
+        }
         if (bytes.remaining() < PREFIX) {
             peer.partial();
             return ctx.getStopAction(bytes);
--- a/wire/src/main/java/milletyoke/wire/PeerFilter.java
+++ b/wire/src/main/java/milletyoke/wire/PeerFilter.java
@@ -38,6 +38,10 @@
 
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
+        if (wire.isFull()) {
+            ctx.getConnection().closeSilently();
+            return ctx.getStopAction();
+        }
         opened(ctx.getConnection());
         return ctx.getInvokeAction();
     }
--- a/wire/src/main/java/milletyoke/wire/Wire.java
+++ b/wire/src/main/java/milletyoke/wire/Wire.java
@@ -27,7 +27,11 @@
     /** What was handed over before a clean end has this long to be taken by its readers (microseconds). */
     private static final long LAST_WRITES = 1_000_000;
 
+    /** Connections of one participant; what is beyond is closed as it comes. */
+    private static final int MOST_PEERS = 16_384;
+
     private final TCPNIOTransport transport;
+    private final int mostPeers;
     private final String name;
     private final Tap tap;
     private final Set<Peer> peers = ConcurrentHashMap.newKeySet();
@@ -38,6 +42,12 @@
      * @param threads threads that serve its sockets
      */
     public Wire(String name, int threads, Tap tap) throws IOException {
+        this(name, threads, tap, MOST_PEERS);
+    }
+
+    /** @param mostPeers connections at once; a further one that comes in is closed and nothing is kept of it */
+    public Wire(String name, int threads, Tap tap, int mostPeers) throws IOException {
+        this.mostPeers = mostPeers;
         this.name = name;
         this.tap = tap;
         TCPNIOTransportBuilder builder = TCPNIOTransportBuilder.newInstance()
@@ -111,6 +121,11 @@
                 .add(new PeerFilter(this, role, name, handler, bounds, tap)).build();
     }
 
+    /** Guards memory and file handles against peers that open connections without end. */
+    boolean isFull() {
+        return peers.size() >= mostPeers;
+    }
+
     void add(Peer peer) {
         peers.add(peer);
     }
