The console reads what a limit's store holds now, not at its last use

Since stores are filled by time alone, the figure kept is that of the last draw, and the overview could say that a volume is at its limit long after it is not; found reading the change over. Look asks the module for the present level.

--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -152,7 +152,7 @@
         s.at = now;
     }
 
-    private double settled(Store s) {
+    double settled(Store s) {
         Plan plan = plans.get(s.plan);
         boolean limited = plan != null && plan.limitRate() > 0;
         return limited ? level(s, plan.limitRate() / s.hosts, limitDepth(plan) / s.hosts) : s.units;
--- a/core/src/main/java/milletyoke/Look.java
+++ b/core/src/main/java/milletyoke/Look.java
@@ -30,10 +30,11 @@
     public record NodeLook(int shard, String target, int waiting, int volumes) {}
 
     /**
-     * What is left of one volume's stores, as of their last use.
+     * What is left of one volume's stores.
      *
-     * @param limit units left of this host's part of its limit, -1 where it has none
-     * @param reserve units owed of its reserve
+     * @param limit units left now of this host's part of its limit, -1 where it has none; a store is filled by time, so
+     *     what it held at its last use would say "at its limit" long after it is not
+     * @param reserve units owed of its reserve, as of its last use
      * @param waiting accesses waiting here, at all shards
      */
     public record VolumeLook(double limit, double reserve, int waiting) {}
@@ -67,7 +68,7 @@
             State.Reservation r = n.waiting == 0 ? null : n.reservations.get(volume);
             waiting += r == null ? 0 : r.queue.size();
         }
-        return new VolumeLook(limit == null ? -1 : limit.units, reserve == null ? 0 : reserve.units, waiting);
+        return new VolumeLook(limit == null ? -1 : d.settled(limit), reserve == null ? 0 : reserve.units, waiting);
     }
 
     /** The part of answers, of late, that told of long queues. */
