The module serves only nodes touched or due, by ordered structures of time and tag

Each call still went over all targets, all relays out and all nodes with waiting work, and each send over all waiting volumes of its node. Now silence and loss are found through a heap of times a target, nodes are served where something happened or their time has come, late accesses, least finish tag, extra tags and weights come from trees, joins from an index by extent, holders from a list a shard. What was found unsendable is parked until the earliest time that could change it; whatever else may change it unparks it. Tie-break of equal tags: who was made first, as it was.

--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -1,7 +1,6 @@
 package milletyoke;
 
 import java.util.*;
-import java.util.stream.IntStream;
 import milletyoke.port.Action;
 import milletyoke.port.Event;
 import milletyoke.port.Outcome;
@@ -41,6 +40,10 @@
     private static final double SLACK_USED = 0.9;
     /** What waits at a cold target may take this part of what the bound leaves beyond its capacity. */
     private static final double COLD_QUEUE = 1.0 / 8;
+    /** What is sought by time is sought with means this much above those of now, to be found in time. */
+    private static final double DRIFT = 1.25;
+    private static final long DRIFT_AGAIN = 1_000_000;
+    private static final TreeSet<Held> NONE = new TreeSet<>(Held.AT_NODE);
     private static final Set<Outcome> MAY_STILL_RUN =
             EnumSet.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED);
 
@@ -68,15 +71,18 @@
 
     private long askAt = Long.MAX_VALUE, askWait = FIRST_ASK;
 
-    final Map<Integer, Node> nodes = new LinkedHashMap<>();
+    final Agenda agenda = new Agenda();
+    /** The earliest time at which what was just found to be so, or not, may be otherwise by time alone. */
+    private long again;
+    private double aloneSeen, unitsSeen;
+    private long driftAt;
+    private boolean suspected, hadBudget;
     private final Map<String, Held> held = new LinkedHashMap<>();
-    /** Those with a relay out, in the order of taking. */
-    private final TreeMap<Long, Held> outs = new TreeMap<>();
     private long takenInAll;
-    final Map<String, Store> limits = new HashMap<>(), reserves = new HashMap<>();
+    final Map<String, Volume> volumes = new LinkedHashMap<>();
     private final Map<String, Turns> turns = new HashMap<>();
     private final Map<String, Long> longestTtl = new HashMap<>();
-    private final ArrayDeque<Long> taken = new ArrayDeque<>(), further = new ArrayDeque<>();
+    private final Span taken = new Span(), further = new Span();
     double furtherSuccess = 1, lateShare;
     /** What an access takes at a target where no other waits. */
     private double aloneLag;
@@ -91,9 +97,9 @@
         wakeAt = now >= wakeAt ? Long.MAX_VALUE : wakeAt;
         todo = new ArrayList<>();
         happened.forEach(this::learn);
-        IntStream.range(0, targets.count).forEach(this::watchForSilence);
-        outs.values().forEach(this::watchForLoss);
-        nodes.values().stream().filter(n -> n.waiting > 0).forEach(this::serve);
+        noticeDrift();
+        watchOwing();
+        serveNodes();
         followList();
         arrangeWake();
         return todo;
@@ -140,16 +146,19 @@
      * rises: its store fills as time goes on.
      */
     private void reprovision(Provisioning next) {
-        limits.values().forEach(this::settle);
+        volumes.values().forEach(this::settle);
         provision(next);
-        limits.values().forEach(this::settle);
+        volumes.values().forEach(this::settle);
         held.values().forEach(h -> h.plan = plans.get(h.access.plan()));
-        nodes.values().forEach(n -> n.reservations.values().forEach(this::reweigh));
+        agenda.nodes().forEach(Node::reweigh);
+        agenda.upsetAll();
+        targets.due.all(targets.count, now);
     }
 
-    private void settle(Store s) {
-        s.units = settled(s);
-        s.at = now;
+    private void settle(Volume v) {
+        if (v.limit != null) {
+            v.limit.set(settled(v.limit), now);
+        }
     }
 
     double settled(Store s) {
@@ -158,14 +167,8 @@
         return limited ? level(s, plan.limitRate() / s.hosts, limitDepth(plan) / s.hosts) : s.units;
     }
 
-    private void reweigh(Reservation r) {
-        r.weight = r.queue.isEmpty() ? r.weight : weight(r.queue.peekFirst().plan);
-        retag(r);
-    }
-
     private void arrangeWake() {
-        boolean waiting = nodes.values().stream().anyMatch(n -> n.waiting > 0);
-        long look = held.isEmpty() ? Long.MAX_VALUE : now + (waiting ? LOOK_WAITING : LOOK_IDLE);
+        long look = held.isEmpty() ? Long.MAX_VALUE : now + (agenda.waiting > 0 ? LOOK_WAITING : LOOK_IDLE);
         if (Math.min(askAt, look) < wakeAt) {
             wakeAt = Math.min(askAt, look);
             todo.add(new Action.Wake(Math.max(1, wakeAt - now)));
@@ -184,7 +187,70 @@
             Arrays.fill(targets.usable, false);
         }
         e.targets().forEach(this::listed);
-        nodes.forEach(this::findHolder);
+        boolean part = e.scope() == Event.Scope.UPDATE;
+        (part ? e.targets().stream().map(t -> agenda.node(t.shard())) : agenda.nodes().stream())
+                .forEach(this::findHolder);
+    }
+
+    // ---- What is to be looked at again, when ----
+
+    private void againAt(long time) {
+        again = Math.min(again, time);
+    }
+
+    /** The node that a target holds, or would. */
+    private Node nodeOf(int t) {
+        return agenda.node(targets.shardOf[t]);
+    }
+
+    /** Times were set with means that may have grown since; all is looked at again once they grew by much. */
+    private void noticeDrift() {
+        boolean grown = aloneLag > aloneSeen || meanUnits > unitsSeen;
+        if (grown || now >= driftAt) {
+            aloneSeen = DRIFT * aloneLag;
+            unitsSeen = DRIFT * meanUnits;
+            driftAt = now + DRIFT_AGAIN;
+        }
+        if (grown || suspected != lateShare >= SUSPECT) {
+            suspected = lateShare >= SUSPECT;
+            agenda.upsetAll();
+            targets.due.all(targets.count, now);
+        }
+    }
+
+    /** When this target is next to be asked after: no later than it can be silent, or a relay to it lost. */
+    private void watch(int t) {
+        long silent = Math.max(resumedAt, targets.heardAt[t]) + (long) patience(t) + 1;
+        long due = targets.out[t] > 0 ? silent : Timetable.NEVER;
+        due = targets.nextTrial[t] > 0 ? targets.nextTrial[t] : due;
+        for (Held h : targets.outs.get(t)) {
+            double most = PATIENCE * targets.lag[t] * Math.max(1, h.access.units() / unitsSeen);
+            boolean overtaken = targets.answeredSent[t] > h.sentAt;
+            due = overtaken ? Math.min(due, Math.max(resumedAt, h.sentAt) + (long) most) : due;
+        }
+        targets.due.set(t, due);
+    }
+
+    private void watchOwing() {
+        int[] due = targets.due.due(now);
+        List<Held> owed = new ArrayList<>();
+        for (int t : due) {
+            watchForSilence(t);
+            owed.addAll(targets.outs.get(t));
+        }
+        owed.sort(Held.BY_TAKING);
+        owed.forEach(this::watchForLoss);
+        for (int t : due) {
+            watch(t);
+        }
+    }
+
+    private void serveNodes() {
+        agenda.come(now);
+        noticeBudget();
+        for (Node n = agenda.next(null); n != null; n = agenda.next(n)) {
+            serve(n);
+        }
     }
 
     /** A failure does not tell if the subscription stands: it is asked again, out of step, ever later. */
@@ -204,67 +270,62 @@
 
     private void listed(Event.Target target) {
         int t = indexOf.computeIfAbsent(target.id(), targets::add);
-        targets.zone[t] = String.valueOf(target.zone());
-        targets.shardOf[t] = target.shard();
+        Node before = targets.life[t] == 0 ? agenda.node(target.shard()) : nodeOf(t);
+        targets.relist(t, target);
+        before.listed.remove(t);
+        nodeOf(t).listed.add(t);
+        findHolder(before);
         targets.usable[t] = target.health() == Event.Health.ON;
         if (targets.life[t] == 0 || target.launched() > targets.launched[t]) {
             targets.launched[t] = target.launched();
-            forget(t);
+            targets.renew(t, FIRST_WINDOW);
         }
-        nodes.computeIfAbsent(target.shard(), s -> new Node());
+        watch(t);
     }
 
-    private void forget(int t) {
-        targets.window[t] = FIRST_WINDOW;
-        targets.out[t] = 0;
-        targets.life[t]++;
-        targets.lag[t] = 0;
-        targets.nextTrial[t] = 0;
-        targets.toldUntil[t] = 0;
-    }
-
-    private void findHolder(int shard, Node node) {
+    private void findHolder(Node node) {
         node.target = -1;
-        for (int t = 0; t < targets.count; t++) {
+        for (int t : node.listed) {
             boolean newer = node.target < 0 || targets.launched[t] >= targets.launched[node.target];
-            if (targets.shardOf[t] == shard && targets.usable[t] && newer) {
-                node.target = t;
-            }
+            node.target = targets.usable[t] && newer ? t : node.target;
         }
+        agenda.upset(node);
     }
 
     // ---- Taking ----
 
     private void take(Event.Access e) {
         Category category = categories.get(e.category());
-        Held h = new Held(e, takenInAll++, category, plans.get(e.plan()));
+        Volume volume = volumes.computeIfAbsent(e.volume(), Volume::new);
+        volume.asks(e);
+        Held h = new Held(e, takenInAll++, category, volume, plans.get(e.plan()));
         h.abandonAt = now + e.ttl();
         long longest = longestTtl.merge(category.name(), e.ttl(), Math::max);
         boolean impatient = e.ttl() < category.agreedTime(); // a repeat that late would hardly be in time
         h.firstTaken = impatient ? now : now - (longest - e.ttl());
         h.agreedAt = Math.min(h.firstTaken + category.agreedTime(), h.abandonAt - ANSWER_AHEAD);
         held.put(e.id(), h);
-        inSpan(taken).addLast(now);
-        if (hasLimit(h)) {
+        taken.add(now, now - bounds.relayBudgetSpan());
+        if (h.hasLimit()) {
             openLimit(h);
         }
         meanUnits += (e.units() - meanUnits) * (meanUnits == 0 ? 1 : SMOOTHING);
         if (category.keyOrdered() && e.extent() != null) {
-            turns.computeIfAbsent(e.extent(), k -> new Turns()).order.addLast(h);
+            turns.computeIfAbsent(e.extent(), k -> new Turns()).order.add(h);
         }
-        h.node = e.shard() < 0 ? draw() : nodes.computeIfAbsent(e.shard(), s -> new Node());
+        h.node = e.shard() < 0 ? draw() : agenda.node(e.shard());
         enqueue(h);
     }
 
     /** A new object goes to a target drawn at random, odds in step with the room each is thought to have. */
     private Node draw() {
-        double left = chance.nextDouble() * nodes.values().stream().mapToDouble(this::room).sum();
+        double left = chance.nextDouble() * agenda.nodes().stream().mapToDouble(this::room).sum();
         Node drawn = null;
-        for (Node n : nodes.values()) {
+        for (Node n : agenda.nodes()) {
             drawn = drawn == null || left > 0 && room(n) > 0 ? n : drawn;
             left -= room(n);
         }
-        return drawn == null ? nodes.computeIfAbsent(0, s -> new Node()) : drawn;
+        return drawn == null ? agenda.node(0) : drawn;
     }
 
     private double room(Node n) {
@@ -276,64 +337,52 @@
 
     private void enqueue(Held h) {
         Node node = h.node;
-        Reservation r = node.reservations.computeIfAbsent(h.access.volume(),
-                v -> new Reservation(node.reservations.size()));
-        r.weight = weight(h.plan);
+        Reservation r = agenda.reservation(node, h.volume);
+        node.unfile(r);
+        r.weight = h.weight();
         if (r.queue.isEmpty()) {
             r.start = Math.max(node.virtualTime, r.finish);
-            double least = node.waitingHere.stream().mapToDouble(other -> other.extra).min().orElse(r.extra);
-            r.extra = Math.max(r.extra, least);
-        }
-        r.queue.add(placeIn(r.queue, h), h);
-        retag(r);
-        node.waiting++;
-        node.waitingHere.add(r);
-        node.earliestAgreed = Math.min(node.earliestAgreed, h.agreedAt);
-    }
-
-    private static double weight(Plan plan) {
-        return plan == null || plan.weight() <= 0 ? 1 : plan.weight();
-    }
-
-    /** Inside one volume importance goes first, then the newest: a backlog makes few very late, not all. */
-    private static int placeIn(LinkedList<Held> queue, Held h) {
-        double own = h.category.importance();
-        return (int) queue.stream().filter(o -> o.category.importance() > own
-                || o.category.importance() == own && o.firstTaken >= h.firstTaken).count();
-    }
-
-    private static double step(Reservation r, Held h) {
-        return h.access.units() / r.weight;
-    }
-
-    private static void retag(Reservation r) {
-        r.finish = r.queue.isEmpty() ? r.finish : r.start + step(r, r.queue.peekFirst());
-    }
-
-    private static void dequeue(Held h, Reservation r) {
-        r.queue.remove(h);
-        h.node.waiting--;
-        if (r.queue.isEmpty()) {
-            h.node.waitingHere.remove(r);
+            r.extra = node.byExtra.isEmpty() ? r.extra : Math.max(r.extra, node.byExtra.first().extra);
         }
-        retag(r);
+        agenda.queue(h, r);
     }
 
     // ---- Serving a node ----
 
+    /**
+     * What can no longer be answered in its agreed time takes the room that is left, unless others need it
+     * (a crowd, a limit), or gets its answer at once. Guards against a backlog of any cause that would make
+     * all that comes after it late too. Could harm where the lag is thought longer than it is.
+     */
     private void serve(Node node) {
         boolean asking = mustAsk(node.target);
-        List<Held> late = takeLate(node);
+        List<Held> late = node.lateBy(now + expected(node.target));
+        late.forEach(agenda::unqueue);
         while (!asking && batch(node)) {
             continue;
         }
         for (Held h : late) {
             boolean room = !asking && roomAt(node) > 0 && fits(h, node.target);
-            boolean spares = now <= h.agreedAt || !crowd && (h.relays > 0 || !hasLimit(h));
+            boolean spares = now <= h.agreedAt || !crowd && (h.relays > 0 || !h.hasLimit());
             if (!room || !spares || !relay(h, node.target)) {
                 giveUp(h);
             }
         }
+        arrangeServing(node, asking);
+    }
+
+    /** When time alone may change what was just done here: lateness, a cold time's end, what is parked. */
+    private void arrangeServing(Node node, boolean asking) {
+        again = Timetable.NEVER;
+        double expected = expected(node.target) + aloneSeen - aloneLag;
+        if (node.target >= 0 && isCold(node.target)) {
+            againAt(targets.launched[node.target] + bounds.cold());
+        }
+        if (!asking && !node.parked.isEmpty() && roomAt(node) > 0) {
+            againAt(node.parked.first().lookAt);
+        }
+        long late = node.byAgreed.isEmpty() ? again : (long) (node.byAgreed.first().agreedAt - expected);
+        agenda.due(node, Math.min(again, late));
     }
 
     /**
@@ -352,11 +401,15 @@
     }
 
     boolean isTold(int t) {
-        return t >= 0 && now < targets.toldUntil[t];
+        boolean told = t >= 0 && now < targets.toldUntil[t];
+        againAt(told ? targets.toldUntil[t] : again);
+        return told;
     }
 
     private double expected(int t) {
-        boolean old = t >= 0 && now - targets.heardAt[t] > LONGEST_TRIAL * shortestAgreed;
+        long oldAt = t < 0 ? now : targets.heardAt[t] + LONGEST_TRIAL * shortestAgreed + 1;
+        boolean old = t >= 0 && now >= oldAt;
+        againAt(old ? again : oldAt);
         double usual = t < 0 || targets.askedAt[t] > 0 ? 0 : old ? aloneLag : targets.lag[t];
         return isTold(t) ? targets.crowd[t] + aloneLag : usual;
     }
@@ -367,28 +420,6 @@
         return !isTold(t) || targets.crowd[t] <= part * shortestAgreed;
     }
 
-    /**
-     * What can no longer be answered in its agreed time takes the room that is left, unless others need it
-     * (a crowd, a limit), or gets its answer at once. Guards against a backlog of any cause that would make
-     * all that comes after it late too. Could harm where the lag is thought longer than it is.
-     */
-    private List<Held> takeLate(Node node) {
-        double expected = expected(node.target);
-        List<Held> late = new ArrayList<>();
-        if (now + expected <= node.earliestAgreed) {
-            return late;
-        }
-        for (Reservation r : List.copyOf(node.waitingHere)) {
-            for (Held h : r.queue.stream().filter(w -> now + expected > w.agreedAt).toList()) {
-                dequeue(h, r);
-                late.add(h);
-            }
-        }
-        node.earliestAgreed = node.waitingHere.stream().flatMap(r -> r.queue.stream())
-                .mapToLong(w -> w.agreedAt).min().orElse(Long.MAX_VALUE);
-        return late;
-    }
-
     /** One base batch by least finish tag, beside each of it the inserts that may join; false if empty. */
     private boolean batch(Node node) {
         int room = roomAt(node);
@@ -401,7 +432,7 @@
             Held h = sendable(node, r);
             node.virtualTime = r.start;
             r.start = r.finish;
-            dequeue(h, r);
+            agenda.unqueue(h);
             base.add(h);
         }
         room -= base.size();
@@ -422,36 +453,48 @@
      * where many ask for more; could harm the shares by weight if reserves took the whole node for long.
      */
     private Reservation leastFinish(Node node) {
-        Reservation least = null;
-        boolean leastOwed = false;
-        for (Reservation r : node.waitingHere) {
+        node.refresh(now);
+        while (!node.owed.isEmpty()) {
+            Reservation r = node.owed.first();
+            again = Timetable.NEVER;
             Held h = sendable(node, r);
-            boolean owed = h != null && isOwed(h);
-            boolean first = least == null || (owed == leastOwed ? r.finish < least.finish : owed);
-            if (h != null && first) {
-                least = r;
-                leastOwed = owed;
+            if (h != null && isOwed(h)) {
+                return r;
+            }
+            node.park(r, h != null, again);
+        }
+        while (!node.ready.isEmpty()) {
+            Reservation r = node.ready.first();
+            again = Timetable.NEVER;
+            if (sendable(node, r) != null) {
+                return r;
             }
+            node.park(r, false, again);
         }
-        return least;
+        return null;
     }
 
     private Held sendable(Node node, Reservation r) {
         int t = node.target;
-        return r.queue.stream().filter(h -> mayRelay(h, t) && fits(h, t)).findFirst().orElse(null);
+        return r.first(h -> mayRelay(h, t) && fits(h, t));
     }
 
     /** What this host owes a volume of its reserve: at most a second, and an access of twice the mean. */
     private boolean isOwed(Held h) {
-        return level(reserves.get(h.access.volume()), reserve(h), reserveDepth(h)) >= h.access.units();
+        double rate = h.reserve(), units = h.access.units();
+        double missing = units - level(h.volume.reserve, rate, reserveDepth(h));
+        boolean bySize = units > reserveDepth(h) && units <= rate + 2 * unitsSeen
+                && (rate > 0 || h.volume.reserve != null && h.volume.reserve.units >= units);
+        againAt(missing <= 0 ? again : bySize ? now : filledAt(missing, rate));
+        return missing <= 0;
     }
 
-    private static double reserve(Held h) {
-        return h.plan == null ? 0 : h.plan.reserve();
+    private long filledAt(double missing, double rate) {
+        return rate > 0 ? now + (long) Math.min(missing / rate * 1e6, 1e15) - 1 : Timetable.NEVER;
     }
 
     private double reserveDepth(Held h) {
-        return reserve(h) + 2 * meanUnits;
+        return h.reserve() + 2 * meanUnits;
     }
 
     private Held insert(Node node, Held beside, int room) {
@@ -459,14 +502,13 @@
         if (room <= 0 || extent == null || beside.category.keyOrdered()) {
             return null;
         }
-        for (Reservation r : node.waitingHere) {
-            for (Held h : r.queue) {
-                if (extent.equals(h.access.extent()) && !h.category.keyOrdered() && mayRelay(h, node.target)
-                        && fits(h, node.target) && withinMargin(node, r, step(r, h))) {
-                    r.extra += step(r, h);
-                    dequeue(h, r);
-                    return h;
-                }
+        for (Held h : node.byExtent.getOrDefault(extent, NONE)) {
+            Reservation r = h.reservation;
+            if (mayRelay(h, node.target) && fits(h, node.target) && withinMargin(node, r, r.step(h))) {
+                node.unfile(r);
+                r.extra += r.step(h);
+                agenda.unqueue(h);
+                return h;
             }
         }
         return null;
@@ -474,15 +516,7 @@
 
     /** Whether the widest gap of waiting volumes' extra tags stays within the margin after one step. */
     private boolean withinMargin(Node node, Reservation one, double step) {
-        double least = one.extra + step, most = least, lightest = one.weight;
-        for (Reservation r : node.waitingHere) {
-            if (r != one) {
-                least = Math.min(least, r.extra);
-                most = Math.max(most, r.extra);
-                lightest = Math.min(lightest, r.weight);
-            }
-        }
-        return most - least <= MARGIN_STEPS * meanUnits / lightest;
+        return node.gap(one, step) <= MARGIN_STEPS * meanUnits / node.byWeight.first().weight;
     }
 
     private int roomAt(Node node) {
@@ -498,14 +532,16 @@
             return false;
         }
         if (h.relays > 0) {
-            inSpan(further).addLast(now);
-        } else if (hasLimit(h)) {
+            further.add(now, now - bounds.relayBudgetSpan());
+            noticeBudget();
+        } else if (h.hasLimit()) {
             drawOnLimit(h);
         }
         drawOnReserve(h);
         if (isCold(t)) {
             targets.coldSpent.get(t).addLast(new Spent(now, h.access.units()));
             targets.toldUntil[t] = 0;
+            agenda.upset(nodeOf(t));
         }
         targets.heardAt[t] = targets.out[t] == 0 && targets.nextTrial[t] == 0 ? now : targets.heardAt[t];
         targets.mayTry[t] = false;
@@ -515,13 +551,15 @@
         h.outLife = targets.life[t];
         h.sentAt = now;
         targets.out[t]++;
-        outs.put(h.taken, h);
+        targets.outs.get(t).add(h);
+        watch(t);
         todo.add(new Action.Relay(h.access.id(), h.abandonAt, targets.id[t]));
         return true;
     }
 
     private boolean mayRelay(Held h, int t) {
         boolean inTime = !h.answered && now < h.abandonAt - ANSWER_AHEAD;
+        againAt(inTime ? h.abandonAt - ANSWER_AHEAD : again);
         return t >= 0 && targets.usable[t] && inTime && noSecondEffect(h, t) && coldBears(h, t) && itsTurn(h)
                 && withinBudget(h) && withinLimit(h);
     }
@@ -539,8 +577,10 @@
     }
 
     private boolean mayRunAgain(Held h) {
-        return h.ranAt < 0 || h.category.repeats() == Repeats.HARMLESS
-                || h.category.repeats() == Repeats.STAMPED && now < h.ranSince + h.category.repeatWindow();
+        long until = h.ranSince + h.category.repeatWindow();
+        boolean stamped = h.ranAt >= 0 && h.category.repeats() == Repeats.STAMPED && now < until;
+        againAt(stamped ? until : again);
+        return h.ranAt < 0 || h.category.repeats() == Repeats.HARMLESS || stamped;
     }
 
     boolean isCold(int t) {
@@ -559,12 +599,22 @@
         if (probesTell && isTold(t) && targets.crowd[t] <= queue) {
             return true;
         }
+        againAt(targets.launched[t] + bounds.cold());
         if (now < startedAt + bounds.fall() && targets.launched[t] < startedAt) {
+            againAt(startedAt + bounds.fall());
             return false;
         }
-        targets.coldSpent.get(t).removeIf(s -> s.at() <= now - bounds.fall());
-        double spent = targets.coldSpent.get(t).stream().mapToDouble(Spent::units).sum();
-        return spent + h.access.units() <= coldPart(t);
+        double missing = targets.spentAfter(t, now - bounds.fall()) + h.access.units() - coldPart(t);
+        againAt(targets.firstSpent(t) + bounds.fall());
+        againAt(missing > 0 ? filledAt(missing, coldGrowth()) : again);
+        return missing <= 0;
+    }
+
+    /** By how much a second the part grows while a target warms. */
+    private double coldGrowth() {
+        double share = bounds.coldShare();
+        double grown = share > 0 ? (1 - share) / share / bounds.cold() : 0;
+        return 1e6 * bounds.coldBears() * grown / Math.max(1, given.initiators());
     }
 
     /** The bound grows as the target warms, which is never slower than evenly; the window's start counts. */
@@ -577,7 +627,9 @@
 
     private boolean itsTurn(Held h) {
         Turns k = turnsOf(h);
-        return k == null || k.order.peekFirst() == h && now >= k.restUntil;
+        boolean first = k == null || k.order.first() == h;
+        againAt(k != null && first && now < k.restUntil ? k.restUntil : again);
+        return first && (k == null || now >= k.restUntil);
     }
 
     private Turns turnsOf(Held h) {
@@ -585,67 +637,60 @@
     }
 
     private boolean withinBudget(Held h) {
-        return h.relays == 0 || bounds.relayBudgetSpan() == 0 || inSpan(further).size() + 1
-                <= bounds.relayBudgetFree() + bounds.relayBudgetShare() * inSpan(taken).size();
-    }
-
-    private ArrayDeque<Long> inSpan(ArrayDeque<Long> times) {
-        while (!times.isEmpty() && times.peekFirst() <= now - bounds.relayBudgetSpan()) {
-            times.removeFirst();
+        if (h.relays > 0 && bounds.relayBudgetSpan() > 0) {
+            agenda.restsOnBudget(h.node);
         }
-        return times;
+        return h.relays == 0 || budgetLeft();
     }
 
-    private boolean withinLimit(Held h) {
-        return h.relays > 0 || !hasLimit(h) || limitLeft(h) >= h.access.units();
+    private void noticeBudget() {
+        if (budgetLeft() != hadBudget) {
+            hadBudget = !hadBudget;
+            agenda.budgetTurned();
+        }
     }
 
-    private static boolean hasLimit(Held h) {
-        return h.plan != null && h.plan.limitRate() > 0;
+    private boolean budgetLeft() {
+        long since = now - bounds.relayBudgetSpan();
+        return bounds.relayBudgetSpan() == 0 || further.after(since) + 1
+                <= bounds.relayBudgetFree() + bounds.relayBudgetShare() * taken.after(since);
     }
 
-    /** This host's part of a volume's limit, with slack. A former life may have spent it: it starts empty. */
-    private Store limit(Held h) {
-        return limits.computeIfAbsent(h.access.volume(), v -> {
-            Store s = new Store();
-            s.plan = h.access.plan();
-            s.hosts = hosts(h);
-            return s;
-        });
+    private boolean withinLimit(Held h) {
+        double missing = h.relays > 0 || !h.hasLimit() ? 0 : h.access.units() - limitLeft(h);
+        if (missing > 0) {
+            againAt(h.limit().follows(h.access) ? filledAt(missing, h.limitRate()) : now);
+        }
+        return missing <= 0;
     }
 
     /** A store follows the plan and hosts that are asked with: the time before is paid as those were. */
     private void openLimit(Held h) {
-        Store s = limit(h);
-        settle(s);
-        s.plan = h.access.plan();
-        s.hosts = hosts(h);
-    }
-
-    private double limitLeft(Held h) {
-        Store s = limit(h);
-        boolean same = s.plan.equals(h.access.plan()) && s.hosts == hosts(h);
-        return same ? level(s, limitRate(h), limitDepth(h)) : Math.min(limitDepth(h), settled(s));
+        settle(h.volume);
+        follow(h.limit(), h);
     }
 
-    private void drawOnLimit(Held h) {
-        Store s = limit(h);
-        s.units = limitLeft(h) - h.access.units();
-        s.at = now;
-        s.plan = h.access.plan();
-        s.hosts = hosts(h);
+    private void follow(Store s, Held h) {
+        if (h.volume.mixed || h.hasLimit() && h.reserve() > 0) {
+            agenda.upset(h.volume);
+        }
+        s.follow(h.access);
     }
 
-    private static double hosts(Held h) {
-        return Math.max(1, h.access.hosts());
+    private double limitLeft(Held h) {
+        Store s = h.limit();
+        double whole = s.follows(h.access) ? level(s, h.limitRate(), limitDepth(h)) : settled(s);
+        return Math.min(limitDepth(h), whole);
     }
 
-    private static double limitRate(Held h) {
-        return h.plan.limitRate() / hosts(h);
+    private void drawOnLimit(Held h) {
+        Store s = h.limit();
+        s.set(limitLeft(h) - h.access.units(), now);
+        follow(s, h);
     }
 
     private static double limitDepth(Held h) {
-        return limitDepth(h.plan) / hosts(h);
+        return limitDepth(h.plan) / h.hosts();
     }
 
     private static double limitDepth(Plan plan) {
@@ -659,9 +704,9 @@
     }
 
     private void drawOnReserve(Held h) {
-        Store s = reserves.computeIfAbsent(h.access.volume(), v -> new Store());
-        s.units = Math.max(0, level(s, reserve(h), reserveDepth(h)) - h.access.units());
-        s.at = now;
+        Store s = h.volume.reserveFor(h.access);
+        s.set(Math.max(0, level(s, h.reserve(), reserveDepth(h)) - h.access.units()), now);
+        follow(s, h);
     }
 
     // ---- Outcomes ----
@@ -673,9 +718,10 @@
         }
         int t = h.outAt;
         h.outAt = -1;
-        outs.remove(h.taken);
+        targets.outs.get(t).remove(h);
         giveRoom(h, t);
         judge(t, h, e);
+        watch(t);
         boolean mayStillRun = MAY_STILL_RUN.contains(e.outcome());
         Turns k = turnsOf(h);
         if (k != null && mayStillRun) {
@@ -699,6 +745,7 @@
 
     private void giveRoom(Held h, int t) {
         targets.out[t] -= !h.lost && h.outLife == targets.life[t] ? 1 : 0;
+        agenda.touch(nodeOf(t));
     }
 
     private void judge(int t, Held h, Event.Ended e) {
@@ -758,6 +805,7 @@
         targets.crowd[t] = waits;
         targets.toldUntil[t] = now + holds;
         targets.bar[t] = chance.nextDouble();
+        agenda.upset(nodeOf(t));
         lateShare += SMOOTHING * ((waits > shortestAgreed / 2 ? 1 : 0) - lateShare);
     }
 
@@ -769,18 +817,22 @@
     /** A target that owes answers and gave none for far longer than of late gets trials, ever later. */
     private void watchForSilence(int t) {
         long quiet = Math.max(now - Math.max(resumedAt, targets.heardAt[t]), shortestAgreed / 2);
-        double patience = Math.max(shortestAgreed / 2, PATIENCE * Math.max(targets.lag[t], targets.took[t]));
-        if (targets.nextTrial[t] == 0 && targets.out[t] > 0 && quiet > patience) {
+        if (targets.nextTrial[t] == 0 && targets.out[t] > 0 && quiet > patience(t)) {
             fallSilent(t);
         } else if (targets.nextTrial[t] > 0 && now >= targets.nextTrial[t]) {
             targets.nextTrial[t] = now + Math.min(quiet, LONGEST_TRIAL * shortestAgreed);
             targets.mayTry[t] = !given.allowances().probes();
+            agenda.touch(nodeOf(t));
             if (!targets.mayTry[t] && targets.usable[t]) {
                 todo.add(new Action.Probe(targets.id[t]));
             }
         }
     }
 
+    private double patience(int t) {
+        return Math.max(shortestAgreed / 2, PATIENCE * Math.max(targets.lag[t], targets.took[t]));
+    }
+
     /**
      * A relay that later ones overtook long ago is presumed lost. Guards the window against whatever vanishes
      * one by one. Could harm where a target serves in no order; so one-shot accesses are let wait.
@@ -791,6 +843,7 @@
         double size = overtaken ? Math.max(1, h.access.units() / meanUnits) : 0;
         if (overtaken && now - Math.max(resumedAt, h.sentAt) > PATIENCE * targets.lag[t] * size) {
             giveRoom(h, t);
+            targets.outs.get(t).remove(h);
             h.lost = true;
             if (given.allowances().cancels() && h.category.repeats() != Repeats.ONE_SHOT) {
                 todo.add(new Action.Cancel(h.access.id(), h.relays - 1));
@@ -806,6 +859,7 @@
         if (targets.nextTrial[t] == 0) {
             targets.nextTrial[t] = now;
             targets.mayTry[t] = false;
+            agenda.touch(nodeOf(t));
         }
     }
 
@@ -815,7 +869,11 @@
         boolean answered = e.outcome() == Outcome.SUCCEEDED;
         targets.mayTry[t] |= answered;
         targets.askedAt[t] = 0;
-        probesTell |= e.waiting() >= 0 || answered && aloneLag > 0 && e.lag() > aloneLag;
+        boolean tells = e.waiting() >= 0 || answered && aloneLag > 0 && e.lag() > aloneLag;
+        if (tells && !probesTell) {
+            probesTell = true;
+            agenda.upsetAll(); // cold targets may now bear more
+        }
         double unanswered = isCold(t) ? shortestAgreed : 0;
         told(t, answered ? Math.max(e.lag(), e.waiting() * aloneLag) : unanswered, shortestAgreed / 2);
     }
@@ -847,15 +905,12 @@
 
     private void leave(Held h) {
         h.answered = true;
-        Reservation r = h.node.reservations.get(h.access.volume());
-        if (r != null && r.queue.contains(h)) {
-            dequeue(h, r);
-        }
+        agenda.unqueue(h);
         if (h.outAt < 0) {
             held.remove(h.access.id());
             Turns k = turnsOf(h);
             if (k != null) {
-                k.order.remove(h);
+                agenda.leave(k, h);
                 if (k.order.isEmpty() && now >= k.restUntil) {
                     turns.remove(h.access.extent());
                 }
--- a/core/src/main/java/milletyoke/Look.java
+++ b/core/src/main/java/milletyoke/Look.java
@@ -50,25 +50,21 @@
     }
 
     public static List<NodeLook> nodes(Decide d) {
-        List<NodeLook> all = new ArrayList<>(d.nodes.size());
-        for (Map.Entry<Integer, State.Node> entry : d.nodes.entrySet()) {
+        List<NodeLook> all = new ArrayList<>(d.agenda.byShard().size());
+        for (Map.Entry<Integer, State.Node> entry : d.agenda.byShard().entrySet()) {
             State.Node n = entry.getValue();
-            int volumes = n.waiting == 0 ? 0
-                    : (int) n.reservations.values().stream().filter(r -> !r.queue.isEmpty()).count();
-            all.add(new NodeLook(entry.getKey(), n.target < 0 ? null : d.targets.id[n.target], n.waiting, volumes));
+            all.add(new NodeLook(entry.getKey(), n.target < 0 ? null : d.targets.id[n.target], n.waiting, n.waitingHere.size()));
         }
         return all;
     }
 
     public static VolumeLook volume(Decide d, String volume) {
-        State.Store limit = d.limits.get(volume);
-        State.Store reserve = d.reserves.get(volume);
-        int waiting = 0;
-        for (State.Node n : d.nodes.values()) {
-            State.Reservation r = n.waiting == 0 ? null : n.reservations.get(volume);
-            waiting += r == null ? 0 : r.queue.size();
+        State.Volume v = d.volumes.get(volume);
+        if (v == null) {
+            return new VolumeLook(-1, 0, 0);
         }
-        return new VolumeLook(limit == null ? -1 : d.settled(limit), reserve == null ? 0 : reserve.units, waiting);
+        int waiting = v.waiting.stream().mapToInt(r -> r.queue.size()).sum();
+        return new VolumeLook(v.limit == null ? -1 : d.settled(v.limit), v.reserve == null ? 0 : v.reserve.units, waiting);
     }
 
     /** The part of answers, of late, that told of long queues. */
--- a/core/src/main/java/milletyoke/State.java
+++ b/core/src/main/java/milletyoke/State.java
@@ -4,11 +4,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
-import java.util.LinkedList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import milletyoke.port.Event;
 import milletyoke.port.Provisioning.Category;
 import milletyoke.port.Provisioning.Plan;
@@ -49,6 +49,10 @@
         double[] bar = {};
         long[] rest = {};
         final List<ArrayDeque<Spent>> coldSpent = new ArrayList<>();
+        /** Accesses whose relay is out there and not presumed lost, in the order of sending. */
+        final List<ArrayList<Held>> outs = new ArrayList<>();
+        /** When what is owed there is to be looked at again: no later than it can be silent or lost. */
+        final Timetable due = new Timetable();
 
         int add(String name) {
             int t = count++;
@@ -73,19 +77,89 @@
             rest = Arrays.copyOf(rest, count);
             bar = Arrays.copyOf(bar, count);
             coldSpent.add(new ArrayDeque<>());
+            outs.add(new ArrayList<>());
             id[t] = name;
             return t;
         }
+
+        void relist(int t, Event.Target target) {
+            zone[t] = String.valueOf(target.zone());
+            shardOf[t] = target.shard();
+        }
+
+        /** A new life of the target: nothing is known of it, and nothing out. */
+        void renew(int t, double firstWindow) {
+            window[t] = firstWindow;
+            out[t] = 0;
+            life[t]++;
+            lag[t] = 0;
+            nextTrial[t] = 0;
+            toldUntil[t] = 0;
+        }
+
+        /** Units sent to a cold target after that time; what was before is dropped. */
+        double spentAfter(int t, long since) {
+            double units = 0;
+            coldSpent.get(t).removeIf(s -> s.at() <= since);
+            for (Spent s : coldSpent.get(t)) {
+                units += s.units();
+            }
+            return units;
+        }
+
+        /** When the first of those was sent; far off where there is none. */
+        long firstSpent(int t) {
+            return coldSpent.get(t).isEmpty() ? Timetable.NEVER / 2 : coldSpent.get(t).peekFirst().at();
+        }
+    }
+
+    /** When something happened, as far back as is asked. */
+    static final class Span {
+        private final ArrayDeque<Long> times = new ArrayDeque<>();
+
+        void add(long time, long since) {
+            after(since);
+            times.addLast(time);
+        }
+
+        /** How often after that time; what was before is dropped. */
+        int after(long since) {
+            while (!times.isEmpty() && times.peekFirst() <= since) {
+                times.removeFirst();
+            }
+            return times.size();
+        }
     }
 
     /** One access from taking to its final answer, and on until its last relay has an outcome. */
     static final class Held {
+        static final Comparator<Held> BY_TAKING = (a, b) -> Long.compare(a.taken, b.taken);
+        /** Inside one volume importance goes first, then the newest; then who came to the queue first. */
+        static final Comparator<Held> INSIDE = (a, b) -> {
+            int byImportance = Double.compare(b.category.importance(), a.category.importance());
+            int byAge = byImportance != 0 ? byImportance : Long.compare(b.firstTaken, a.firstTaken);
+            return byAge != 0 ? byAge : Long.compare(a.queued, b.queued);
+        };
+        /** At one node: by the order in which reservations were made, then as inside a volume. */
+        static final Comparator<Held> AT_NODE = (a, b) -> {
+            int byVolume = Long.compare(a.reservation.made, b.reservation.made);
+            return byVolume != 0 ? byVolume : INSIDE.compare(a, b);
+        };
+        static final Comparator<Held> BY_AGREED = (a, b) -> {
+            int byTime = Long.compare(a.agreedAt, b.agreedAt);
+            return byTime != 0 ? byTime : Long.compare(a.queued, b.queued);
+        };
+
         final Event.Access access;
-        /** Its place in the order of taking. */
+        /** Its place in the order of taking, and among all that came to a queue, the latest time it did. */
         final long taken;
+        long queued;
         final Category category;
+        final Volume volume;
         Plan plan;
         Node node;
+        /** Where it waits or last waited; null before. */
+        Reservation reservation;
         long firstTaken;
         long agreedAt;
         long abandonAt;
@@ -101,37 +175,274 @@
         /** Its relay is out, and presumed lost. */
         boolean lost;
 
-        Held(Event.Access access, long taken, Category category, Plan plan) {
+        Held(Event.Access access, long taken, Category category, Volume volume, Plan plan) {
             this.access = access;
             this.taken = taken;
             this.category = category;
+            this.volume = volume;
             this.plan = plan;
         }
+
+        boolean hasLimit() {
+            return plan != null && plan.limitRate() > 0;
+        }
+
+        /** Through how many hosts its volume comes; each keeps its part of what is limited. */
+        double hosts() {
+            return Math.max(1, access.hosts());
+        }
+
+        /** This host's part of its volume's limit, units a second. */
+        double limitRate() {
+            return plan.limitRate() / hosts();
+        }
+
+        /** The store of that limit; a new one is empty, since a former life may have spent it. */
+        Store limit() {
+            return volume.limitFor(access);
+        }
+
+        double reserve() {
+            return plan == null ? 0 : plan.reserve();
+        }
+
+        double weight() {
+            return plan == null || plan.weight() <= 0 ? 1 : plan.weight();
+        }
+
+        boolean waits() {
+            return reservation != null && reservation.queue.contains(this);
+        }
+    }
+
+    /** What is kept of one volume, whichever nodes it goes to. */
+    static final class Volume {
+        final String name;
+        /** Its stores, null before they are first used. */
+        Store limit;
+        Store reserve;
+        /** With which plan, and through how many hosts, it was last asked for; and whether that ever changed. */
+        private String plan;
+        private int hosts;
+        boolean mixed;
+        /** Its reservations that wait, the earlier made first. */
+        final TreeSet<Reservation> waiting = new TreeSet<>(Reservation.BY_MAKING);
+
+        Volume(String name) {
+            this.name = name;
+        }
+
+        /** Its limit's store; a new one, empty, where there is none. */
+        Store limitFor(Event.Access access) {
+            if (limit == null) {
+                limit = new Store();
+                limit.follow(access);
+            }
+            return limit;
+        }
+
+        Store reserveFor(Event.Access access) {
+            if (reserve == null) {
+                reserve = new Store();
+                reserve.follow(access);
+            }
+            return reserve;
+        }
+
+        void asks(Event.Access access) {
+            mixed |= plan != null && (!plan.equals(access.plan()) || hosts != access.hosts());
+            plan = access.plan();
+            hosts = access.hosts();
+        }
     }
 
     /** The node that holds one shard, whichever target that is now; -1 for none. */
     static final class Node {
+        /** Its place in the order of making. */
+        final int made;
         int target = -1;
         int waiting;
         double virtualTime;
-        final Map<String, Reservation> reservations = new LinkedHashMap<>();
-        /** Those of them that wait, in the order in which they were made. */
-        final TreeSet<Reservation> waitingHere = new TreeSet<>(Comparator.comparingInt(r -> r.made));
-        /** No access that waits has an earlier agreed time. */
-        long earliestAgreed = Long.MAX_VALUE;
+        final Map<Volume, Reservation> reservations = new HashMap<>();
+        /** Targets that the list last named for this shard, usable or not, in the order of their index. */
+        final TreeSet<Integer> listed = new TreeSet<>();
+
+        /** Reservations that wait: in order of making, of extra tag, of weight. */
+        final TreeSet<Reservation> waitingHere = new TreeSet<>(Reservation.BY_MAKING);
+        final TreeSet<Reservation> byExtra = new TreeSet<>(Reservation.BY_EXTRA);
+        final TreeSet<Reservation> byWeight = new TreeSet<>(Reservation.BY_WEIGHT);
+        /** Those that may have an access to send, by finish tag; and those that may be owed, too. */
+        final TreeSet<Reservation> ready = new TreeSet<>(Reservation.BY_FINISH);
+        final TreeSet<Reservation> owed = new TreeSet<>(Reservation.BY_FINISH);
+        /** Those not in both of these, by when to look at them again. */
+        final TreeSet<Reservation> parked = new TreeSet<>(Reservation.BY_LOOK);
+        /** More than one volume's own affairs may have changed here since what is parked was parked. */
+        boolean changed;
+
+        /** Accesses that wait here, by agreed time, and by extent where they may join others. */
+        final TreeSet<Held> byAgreed = new TreeSet<>(Held.BY_AGREED);
+        final Map<String, TreeSet<Held>> byExtent = new HashMap<>();
+
+        Node(int made) {
+            this.made = made;
+        }
+
+        /** Takes a reservation out of every order, so that its tags and queue may change. */
+        void unfile(Reservation r) {
+            if (waitingHere.remove(r)) {
+                byExtra.remove(r);
+                byWeight.remove(r);
+                ready.remove(r);
+                owed.remove(r);
+                parked.remove(r);
+                r.volume.waiting.remove(r);
+            }
+        }
+
+        /** Files it under the tags it has now, where it waits; it is to be looked at. */
+        void file(Reservation r) {
+            if (!r.queue.isEmpty()) {
+                waitingHere.add(r);
+                byExtra.add(r);
+                byWeight.add(r);
+                ready.add(r);
+                owed.add(r);
+                r.volume.waiting.add(r);
+            }
+        }
+
+        /** Has a reservation that waits looked at, whatever was found before. */
+        void unpark(Reservation r) {
+            if (waitingHere.contains(r)) {
+                parked.remove(r);
+                ready.add(r);
+                owed.add(r);
+            }
+        }
+
+        /** Weights and finish tags of those that wait follow their plans. */
+        void reweigh() {
+            for (Reservation r : List.copyOf(waitingHere)) {
+                unfile(r);
+                r.weight = r.queue.first().weight();
+                r.retag();
+                file(r);
+            }
+        }
+
+        /** Those whose agreed time is before {@code time}, in the order of reservations and inside them. */
+        List<Held> lateBy(double time) {
+            List<Held> late = new ArrayList<>();
+            for (Held h : byAgreed) {
+                if (time <= h.agreedAt) {
+                    break;
+                }
+                late.add(h);
+            }
+            late.sort(Held.AT_NODE);
+            return late;
+        }
+
+        /** Not to be looked at as ready, or only not as owed, before {@code again}. */
+        void park(Reservation r, boolean ready, long again) {
+            owed.remove(r);
+            if (!ready) {
+                this.ready.remove(r);
+            }
+            parked.remove(r);
+            r.lookAt = again;
+            parked.add(r);
+        }
+
+        /** Has all looked at that is due, or all that wait where more changed. */
+        void refresh(long now) {
+            if (changed) {
+                parked.clear();
+                ready.addAll(waitingHere);
+                owed.addAll(waitingHere);
+                changed = false;
+            }
+            while (!parked.isEmpty() && parked.first().lookAt <= now) {
+                unpark(parked.first());
+            }
+        }
+
+        /** The widest gap between extra tags of those that wait, with one of them a step further. */
+        double gap(Reservation one, double step) {
+            double own = one.extra + step;
+            Reservation low = byExtra.first() == one ? byExtra.higher(one) : byExtra.first();
+            Reservation high = byExtra.last() == one ? byExtra.lower(one) : byExtra.last();
+            return Math.max(own, high == null ? own : high.extra) - Math.min(own, low == null ? own : low.extra);
+        }
+
+        void queue(Held h, Reservation r) {
+            r.queue.add(h);
+            byAgreed.add(h);
+            if (h.access.extent() != null && !h.category.keyOrdered()) {
+                byExtent.computeIfAbsent(h.access.extent(), x -> new TreeSet<>(Held.AT_NODE)).add(h);
+            }
+            waiting++;
+        }
+
+        void unqueue(Held h, Reservation r) {
+            r.queue.remove(h);
+            byAgreed.remove(h);
+            TreeSet<Held> same = h.access.extent() == null ? null : byExtent.get(h.access.extent());
+            if (same != null && same.remove(h) && same.isEmpty()) {
+                byExtent.remove(h.access.extent());
+            }
+            waiting--;
+        }
     }
 
     /** A volume's reservation queue at one node, with its three tags. */
     static final class Reservation {
-        final int made;
-        final LinkedList<Held> queue = new LinkedList<>();
+        static final Comparator<Reservation> BY_MAKING = (a, b) -> Long.compare(a.made, b.made);
+        /** The one tie-break of tags: who was made first. */
+        static final Comparator<Reservation> BY_FINISH = (a, b) -> order(Double.compare(a.finish, b.finish), a, b);
+        static final Comparator<Reservation> BY_EXTRA = (a, b) -> order(Double.compare(a.extra, b.extra), a, b);
+        static final Comparator<Reservation> BY_WEIGHT = (a, b) -> order(Double.compare(a.weight, b.weight), a, b);
+        static final Comparator<Reservation> BY_LOOK = (a, b) -> order(Long.compare(a.lookAt, b.lookAt), a, b);
+
+        /** Its place in the order of making, over all nodes. */
+        final long made;
+        final Node node;
+        final Volume volume;
+        final TreeSet<Held> queue = new TreeSet<>(Held.INSIDE);
         double weight;
         double start;
         double finish;
         double extra;
+        /** While it is parked: when to look at it again. */
+        long lookAt;
 
-        Reservation(int made) {
+        Reservation(long made, Node node, Volume volume) {
             this.made = made;
+            this.node = node;
+            this.volume = volume;
+        }
+
+        void retag() {
+            finish = queue.isEmpty() ? finish : start + step(queue.first());
+        }
+
+        /** The first that waits and passes, null for none. */
+        Held first(Predicate<Held> passes) {
+            for (Held h : queue) {
+                if (passes.test(h)) {
+                    return h;
+                }
+            }
+            return null;
+        }
+
+        /** How far one access moves a tag. */
+        double step(Held h) {
+            return h.access.units() / weight;
+        }
+
+        private static int order(int byTag, Reservation a, Reservation b) {
+            return byTag != 0 ? byTag : Long.compare(a.made, b.made);
         }
     }
 
@@ -142,6 +453,20 @@
         /** Whose plan fills it, and among how many hosts; null until it is first used. */
         String plan;
         double hosts;
+
+        void set(double level, long time) {
+            units = level;
+            at = time;
+        }
+
+        void follow(Event.Access access) {
+            plan = access.plan();
+            hosts = Math.max(1, access.hosts());
+        }
+
+        boolean follows(Event.Access access) {
+            return access.plan().equals(plan) && hosts == Math.max(1, access.hosts());
+        }
     }
 
     /** What a cold target was sent, and when. */
@@ -149,7 +474,7 @@
 
     /** The accesses of one key in the order they were taken, and until when the key rests. */
     static final class Turns {
-        final ArrayDeque<Held> order = new ArrayDeque<>();
+        final TreeSet<Held> order = new TreeSet<>(Held.BY_TAKING);
         long restUntil;
     }
 }
