--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -40,9 +40,6 @@
     private static final double SLACK_USED = 0.9;
     /** What waits at a cold target may take this part of what the bound leaves beyond its capacity. */
     private static final double COLD_QUEUE = 1.0 / 8;
-    /** What is sought by time is sought with means this much above those of now, to be found in time. */
-    private static final double DRIFT = 1.25;
-    private static final long DRIFT_AGAIN = 1_000_000;
     private static final TreeSet<Held> NONE = new TreeSet<>(Held.AT_NODE);
     private static final Set<Outcome> MAY_STILL_RUN =
             EnumSet.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED);
@@ -74,8 +71,7 @@
     final Agenda agenda = new Agenda();
     /** The earliest time at which what was just found to be so, or not, may be otherwise by time alone. */
     private long again;
-    private double aloneSeen, unitsSeen;
-    private long driftAt;
+    private final Ceiling aloneMost = new Ceiling(), unitsMost = new Ceiling();
     private boolean suspected, hadBudget;
     private final Map<String, Held> held = new LinkedHashMap<>();
     private long takenInAll;
@@ -146,18 +142,18 @@
      * rises: its store fills as time goes on.
      */
     private void reprovision(Provisioning next) {
-        volumes.values().forEach(this::settle);
+        volumes.values().forEach(v -> settle(v.limit));
         provision(next);
-        volumes.values().forEach(this::settle);
+        volumes.values().forEach(v -> settle(v.limit));
         held.values().forEach(h -> h.plan = plans.get(h.access.plan()));
         agenda.nodes().forEach(Node::reweigh);
         agenda.upsetAll();
         targets.due.all(targets.count, now);
     }
 
-    private void settle(Volume v) {
-        if (v.limit != null) {
-            v.limit.set(settled(v.limit), now);
+    private void settle(Store s) {
+        if (s != null) {
+            s.set(settled(s), now);
         }
     }
 
@@ -203,14 +199,9 @@
         return agenda.node(targets.shardOf[t]);
     }
 
-    /** Times were set with means that may have grown since; all is looked at again once they grew by much. */
+    /** Times are set with more than the means of now; once one outgrows that, all is looked at again. */
     private void noticeDrift() {
-        boolean grown = aloneLag > aloneSeen || meanUnits > unitsSeen;
-        if (grown || now >= driftAt) {
-            aloneSeen = DRIFT * aloneLag;
-            unitsSeen = DRIFT * meanUnits;
-            driftAt = now + DRIFT_AGAIN;
-        }
+        boolean grown = aloneMost.outgrownBy(aloneLag, now) | unitsMost.outgrownBy(meanUnits, now);
         if (grown || suspected != lateShare >= SUSPECT) {
             suspected = lateShare >= SUSPECT;
             agenda.upsetAll();
@@ -224,7 +215,7 @@
         long due = targets.out[t] > 0 ? silent : Timetable.NEVER;
         due = targets.nextTrial[t] > 0 ? targets.nextTrial[t] : due;
         for (Held h : targets.outs.get(t)) {
-            double most = PATIENCE * targets.lag[t] * Math.max(1, h.access.units() / unitsSeen);
+            double most = PATIENCE * targets.lag[t] * Math.max(1, h.access.units() / unitsMost.most);
             boolean overtaken = targets.answeredSent[t] > h.sentAt;
             due = overtaken ? Math.min(due, Math.max(resumedAt, h.sentAt) + (long) most) : due;
         }
@@ -374,7 +365,7 @@
     /** When time alone may change what was just done here: lateness, a cold time's end, what is parked. */
     private void arrangeServing(Node node, boolean asking) {
         again = Timetable.NEVER;
-        double expected = expected(node.target) + aloneSeen - aloneLag;
+        double expected = expected(node.target) + aloneMost.most - aloneLag;
         if (node.target >= 0 && isCold(node.target)) {
             againAt(targets.launched[node.target] + bounds.cold());
         }
@@ -483,7 +474,7 @@
     private boolean isOwed(Held h) {
         double rate = h.reserve(), units = h.access.units();
         double missing = units - level(h.volume.reserve, rate, reserveDepth(h));
-        boolean bySize = units > reserveDepth(h) && units <= rate + 2 * unitsSeen
+        boolean bySize = units > reserveDepth(h) && units <= rate + 2 * unitsMost.most
                 && (rate > 0 || h.volume.reserve != null && h.volume.reserve.units >= units);
         againAt(missing <= 0 ? again : bySize ? now : filledAt(missing, rate));
         return missing <= 0;
@@ -666,7 +657,7 @@
 
     /** A store follows the plan and hosts that are asked with: the time before is paid as those were. */
     private void openLimit(Held h) {
-        settle(h.volume);
+        settle(h.limit());
         follow(h.limit(), h);
     }
 
--- a/core/src/main/java/milletyoke/State.java
+++ b/core/src/main/java/milletyoke/State.java
@@ -113,6 +113,29 @@
         }
     }
 
+    /**
+     * A bound kept somewhat above a figure that moves, so that times reckoned with the bound come no later than those
+     * reckoned with the figure. It goes down at once a second at most and never up unnoticed. Guards against times that
+     * rest on a bound since passed: one that went up quietly left accesses waiting past their agreed time for
+     * milliseconds.
+     */
+    static final class Ceiling {
+        private static final double ABOVE = 1.25;
+        private static final long LOWER_EVERY = 1_000_000;
+        double most;
+        private long lowerAt;
+
+        /** Whether the figure is above; the bound is then raised, and what rests on it is to be looked at again. */
+        boolean outgrownBy(double figure, long now) {
+            boolean outgrown = figure > most;
+            if (outgrown || now >= lowerAt) {
+                most = outgrown ? ABOVE * figure : Math.min(most, ABOVE * figure);
+                lowerAt = now + LOWER_EVERY;
+            }
+            return outgrown;
+        }
+    }
+
     /** When something happened, as far back as is asked. */
     static final class Span {
         private final ArrayDeque<Long> times = new ArrayDeque<>();
--- /dev/null
+++ b/core/src/test/java/milletyoke/TimetableTest.java
@@ -0,0 +1,55 @@
+package milletyoke;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+class TimetableTest {
+    @Test
+    void saysWhatASortedMapSays() {
+        SplittableRandom chance = new SplittableRandom(5);
+        Timetable table = new Timetable();
+        TreeMap<Integer, Long> plain = new TreeMap<>();
+        for (int step = 0; step < 200_000; step++) {
+            int index = chance.nextInt(300);
+            if (chance.nextInt(20) == 0) {
+                long now = chance.nextInt(1_000);
+                int[] expected = plain.entrySet().stream().filter(e -> e.getValue() <= now).mapToInt(Map.Entry::getKey).toArray();
+                assertArrayEquals(expected, table.due(now));
+                plain.values().removeIf(at -> at <= now);
+            } else if (chance.nextInt(4) == 0) {
+                table.set(index, Timetable.NEVER);
+                plain.remove(index);
+            } else {
+                long at = chance.nextInt(1_000);
+                table.set(index, at);
+                plain.put(index, at);
+            }
+            assertEquals(plain.values().stream().mapToLong(x -> x).min().orElse(Timetable.NEVER), table.first());
+            assertEquals(plain.getOrDefault(index, Timetable.NEVER), table.of(index));
+        }
+    }
+
+    /** A bound that went up quietly left times standing that rested on the lower one (found on a big day of the bench). */
+    @Test
+    void aCeilingNeverRisesUnnoticed() {
+        SplittableRandom chance = new SplittableRandom(6);
+        State.Ceiling ceiling = new State.Ceiling();
+        double figure = 100;
+        boolean lowered = false;
+        for (long now = 0; now < 100_000_000L; now += chance.nextInt(40_000)) {
+            figure *= 0.97 + 0.06 * chance.nextDouble();
+            double before = ceiling.most;
+            boolean told = ceiling.outgrownBy(figure, now);
+            assertTrue(ceiling.most >= figure);
+            assertTrue(told || ceiling.most <= before, "raised and not told");
+            lowered |= ceiling.most < before;
+        }
+        assertTrue(lowered);
+    }
+}
