The module forgets volumes, reservations, keys, targets and shards that matter no more

Nothing was ever forgotten, so memory grew with every volume, key and target ever seen.

Found with it: a volume not seen by this host found its limit's store full at a raised limit's new depth, though it could have held the old depth only. A store stands for unseen volumes of each plan now; the reference has the same change and no other.

--- a/core/src/main/java/milletyoke/Agenda.java
+++ b/core/src/main/java/milletyoke/Agenda.java
@@ -1,5 +1,6 @@
 package milletyoke;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -10,10 +11,13 @@
 import java.util.Set;
 import java.util.TreeSet;
 import milletyoke.State.Held;
+import milletyoke.State.Kept;
 import milletyoke.State.Node;
 import milletyoke.State.Reservation;
+import milletyoke.State.Store;
 import milletyoke.State.Turns;
 import milletyoke.State.Volume;
+import milletyoke.port.Event;
 
 /**
  * The nodes, and which of them are to be served in this turn: those where something happened, and those whose time has
@@ -21,7 +25,15 @@
  */
 final class Agenda {
     private final Map<Integer, Node> nodes = new LinkedHashMap<>();
-    private final List<Node> made = new ArrayList<>();
+    private final Map<String, Volume> volumes = new LinkedHashMap<>();
+    /** A limit's store of each plan, as it is for a volume that was not seen or was forgotten, were there one host. */
+    private final Map<String, Store> unseen = new LinkedHashMap<>();
+    /** Nodes by slot, null where one was forgotten; and the slots that are free. */
+    private final List<Node> slots = new ArrayList<>();
+    private final ArrayDeque<Integer> free = new ArrayDeque<>();
+    /** Volumes and reservations, those that were longest not looked at first. */
+    final ArrayDeque<Kept> kept = new ArrayDeque<>();
+    private int made;
     private final TreeSet<Node> touched = new TreeSet<>(Comparator.comparingInt(n -> n.made));
     private final Timetable due = new Timetable();
     private final Set<Node> forBudget = new LinkedHashSet<>();
@@ -42,13 +54,80 @@
     Node node(int shard) {
         Node known = nodes.get(shard);
         if (known == null) {
-            known = new Node(made.size());
-            made.add(known);
+            int slot = free.isEmpty() ? slots.size() : free.poll();
+            known = new Node(made++, slot, shard);
+            if (slot == slots.size()) {
+                slots.add(known);
+            }
+            slots.set(slot, known);
             nodes.put(shard, known);
         }
         return known;
     }
 
+    void forget(Node node) {
+        nodes.remove(node.shard);
+        touched.remove(node);
+        forBudget.remove(node);
+        due.set(node.slot, Timetable.NEVER);
+        slots.set(node.slot, null);
+        free.add(node.slot);
+    }
+
+    /** The stores of all limits, those that stand for volumes not seen among them. */
+    List<Store> limits() {
+        List<Store> all = new ArrayList<>(unseen.values());
+        for (Volume v : volumes.values()) {
+            if (v.limit != null) {
+                all.add(v.limit);
+            }
+        }
+        return all;
+    }
+
+    /** A plan is known from now on, at the latest: what it limits starts empty. */
+    void unseen(String plan, long now) {
+        unseen.computeIfAbsent(plan, p -> new Store(p, now));
+    }
+
+    /** The store of a volume's limit; one as for a volume not seen before where there is none. */
+    Store limit(Held h) {
+        Volume v = h.volume;
+        if (v.limit == null) {
+            v.limit = new Store(unseen.get(h.access.plan()), h.access.plan(), h.hosts());
+        }
+        return v.limit;
+    }
+
+    /** A store as it would be opened now for the same plan, and among as many hosts. */
+    Store opened(Store like) {
+        return new Store(unseen.get(like.plan), like.plan, like.hosts);
+    }
+
+    /** What is kept of a volume, null where nothing is. */
+    Volume volume(String name) {
+        return volumes.get(name);
+    }
+
+    /** The volume of an access that is taken now; a new one where it is not known. */
+    Volume volume(Event.Access access, long now) {
+        Volume known = volumes.get(access.volume());
+        if (known == null) {
+            known = new Volume(access.volume());
+            volumes.put(access.volume(), known);
+            known.lookedAt = now;
+            kept.addLast(known);
+        }
+        known.usedAt = now;
+        known.asks(access);
+        known.held++;
+        return known;
+    }
+
+    void forget(Volume volume) {
+        volumes.remove(volume.name);
+    }
+
     /** Something changed that may let accesses leave here. */
     void touch(Node node) {
         touched.add(node);
@@ -87,12 +166,12 @@
 
     /** Serve this node at that time too, if nothing happens before. */
     void due(Node node, long time) {
-        due.set(node.made, time);
+        due.set(node.slot, time);
     }
 
     void come(long now) {
         for (int n : due.due(now)) {
-            touched.add(made.get(n));
+            touched.add(slots.get(n));
         }
     }
 
@@ -111,12 +190,16 @@
     }
 
     /** The volume's reservation queue at the node; a new one where there is none. */
-    Reservation reservation(Node node, Volume volume) {
+    Reservation reservation(Node node, Volume volume, long now) {
         Reservation known = node.reservations.get(volume);
         if (known == null) {
             known = new Reservation(reservationsMade++, node, volume);
+            known.extra = node.firstExtra;
             node.reservations.put(volume, known);
+            known.lookedAt = now;
+            kept.addLast(known);
         }
+        known.usedAt = now;
         return known;
     }
 
--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -75,8 +75,9 @@
     private boolean suspected, hadBudget;
     private final Map<String, Held> held = new LinkedHashMap<>();
     private long takenInAll;
-    final Map<String, Volume> volumes = new LinkedHashMap<>();
     private final Map<String, Turns> turns = new HashMap<>();
+    private final Forgetting forgetting =
+            new Forgetting(agenda, targets, indexOf, turns, held.values(), this::settled, this::reserveHolds);
     private final Map<String, Long> longestTtl = new HashMap<>();
     private final Span taken = new Span(), further = new Span();
     double furtherSuccess = 1, lateShare;
@@ -98,6 +99,7 @@
         serveNodes();
         followList();
         arrangeWake();
+        forgetting.turn(now);
         return todo;
     }
 
@@ -133,6 +135,7 @@
         given.categories().forEach(c -> categories.put(c.name(), c));
         shortestAgreed = given.categories().stream().mapToLong(Category::agreedTime).min().orElse(0);
         given.plans().forEach(p -> plans.put(p.name(), p));
+        given.plans().forEach(p -> agenda.unseen(p.name(), now));
     }
 
     /**
@@ -142,9 +145,9 @@
      * rises: its store fills as time goes on.
      */
     private void reprovision(Provisioning next) {
-        volumes.values().forEach(v -> settle(v.limit));
+        agenda.limits().forEach(this::settle);
         provision(next);
-        volumes.values().forEach(v -> settle(v.limit));
+        agenda.limits().forEach(this::settle);
         held.values().forEach(h -> h.plan = plans.get(h.access.plan()));
         agenda.nodes().forEach(Node::reweigh);
         agenda.upsetAll();
@@ -152,9 +155,7 @@
     }
 
     private void settle(Store s) {
-        if (s != null) {
-            s.set(settled(s), now);
-        }
+        s.set(settled(s), now);
     }
 
     double settled(Store s) {
@@ -287,9 +288,7 @@
 
     private void take(Event.Access e) {
         Category category = categories.get(e.category());
-        Volume volume = volumes.computeIfAbsent(e.volume(), Volume::new);
-        volume.asks(e);
-        Held h = new Held(e, takenInAll++, category, volume, plans.get(e.plan()));
+        Held h = new Held(e, takenInAll++, category, agenda.volume(e, now), plans.get(e.plan()));
         h.abandonAt = now + e.ttl();
         long longest = longestTtl.merge(category.name(), e.ttl(), Math::max);
         boolean impatient = e.ttl() < category.agreedTime(); // a repeat that late would hardly be in time
@@ -302,7 +301,7 @@
         }
         meanUnits += (e.units() - meanUnits) * (meanUnits == 0 ? 1 : SMOOTHING);
         if (category.keyOrdered() && e.extent() != null) {
-            turns.computeIfAbsent(e.extent(), k -> new Turns()).order.add(h);
+            turns.computeIfAbsent(e.extent(), k -> new Turns(k)).order.add(h);
         }
         h.node = e.shard() < 0 ? draw() : agenda.node(e.shard());
         enqueue(h);
@@ -328,7 +327,7 @@
 
     private void enqueue(Held h) {
         Node node = h.node;
-        Reservation r = agenda.reservation(node, h.volume);
+        Reservation r = agenda.reservation(node, h.volume, now);
         node.unfile(r);
         r.weight = h.weight();
         if (r.queue.isEmpty()) {
@@ -650,15 +649,15 @@
     private boolean withinLimit(Held h) {
         double missing = h.relays > 0 || !h.hasLimit() ? 0 : h.access.units() - limitLeft(h);
         if (missing > 0) {
-            againAt(h.limit().follows(h.access) ? filledAt(missing, h.limitRate()) : now);
+            againAt(agenda.limit(h).follows(h.access) ? filledAt(missing, h.limitRate()) : now);
         }
         return missing <= 0;
     }
 
     /** A store follows the plan and hosts that are asked with: the time before is paid as those were. */
     private void openLimit(Held h) {
-        settle(h.limit());
-        follow(h.limit(), h);
+        settle(agenda.limit(h));
+        follow(agenda.limit(h), h);
     }
 
     private void follow(Store s, Held h) {
@@ -669,13 +668,13 @@
     }
 
     private double limitLeft(Held h) {
-        Store s = h.limit();
+        Store s = agenda.limit(h);
         double whole = s.follows(h.access) ? level(s, h.limitRate(), limitDepth(h)) : settled(s);
         return Math.min(limitDepth(h), whole);
     }
 
     private void drawOnLimit(Held h) {
-        Store s = h.limit();
+        Store s = agenda.limit(h);
         s.set(limitLeft(h) - h.access.units(), now);
         follow(s, h);
     }
@@ -688,6 +687,12 @@
         return plan.limitDepth() + SLACK_USED * plan.limitSlack();
     }
 
+    /** What a reserve holds, for accesses of up to eight times the mean. */
+    private double reserveHolds(Store s) {
+        double rate = plans.containsKey(s.plan) ? plans.get(s.plan).reserve() : 0;
+        return level(s, rate, 8 * (rate + 2 * meanUnits));
+    }
+
     /** What a store holds now. It is filled by time alone: to look at it changes nothing. */
     private double level(Store s, double rate, double depth) {
         double units = s == null ? 0 : s.units;
@@ -899,11 +904,12 @@
         agenda.unqueue(h);
         if (h.outAt < 0) {
             held.remove(h.access.id());
+            h.volume.held--;
             Turns k = turnsOf(h);
             if (k != null) {
                 agenda.leave(k, h);
-                if (k.order.isEmpty() && now >= k.restUntil) {
-                    turns.remove(h.access.extent());
+                if (k.order.isEmpty()) {
+                    forgetting.left(k);
                 }
             }
         }
--- /dev/null
+++ b/core/src/main/java/milletyoke/Forgetting.java
@@ -0,0 +1,145 @@
+package milletyoke;
+
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import milletyoke.State.Held;
+import milletyoke.State.Kept;
+import milletyoke.State.Node;
+import milletyoke.State.Reservation;
+import milletyoke.State.Store;
+import milletyoke.State.Targets;
+import milletyoke.State.Turns;
+import milletyoke.State.Volume;
+
+/**
+ * Lets go of what volumes, keys, targets and shards leave behind, so that years of service need no more memory than what is
+ * in use does. Without a clock: it is told the time. Each kind goes only once its absence says the same, or less in favour
+ * of whoever returns:
+ * <ul>
+ * <li>a volume: no access of it is held, and a store opened anew would hold no more than those it has;
+ * <li>a reservation: its queue is empty, and the virtual time is at its finish tag, or is brought there while nobody waits
+ * at the node (start-time fair queueing does so at the end of each busy time); one made later starts with the highest extra
+ * tag of those let go here, so nobody comes back with a lower one;
+ * <li>a key: nobody waits for it and its rest is over;
+ * <li>a target: not usable for long, and no access held has a relay out there or one that may have run there;
+ * <li>a shard: nobody holds it, waits for it, or has a reservation there.
+ * </ul>
+ */
+final class Forgetting {
+    /** Volumes and targets are kept at least this long after their last use (microseconds). */
+    static final long AFTER = 600_000_000;
+    /** Between looks at targets and shards. */
+    static final long SWEEP = AFTER / 10;
+    /** So many volumes and reservations are looked at in a turn, at most: no turn pays for what a quiet hour left. */
+    private static final int A_TURN = 8;
+
+    private final Agenda agenda;
+    private final Targets targets;
+    private final Map<String, Integer> indexOf;
+    private final Map<String, Turns> turns;
+    private final Collection<Held> held;
+    /** What stores hold now, by the plans that fill them. */
+    private final ToDoubleFunction<Store> limits;
+    private final ToDoubleFunction<Store> reserves;
+    private final PriorityQueue<Turns> resting = new PriorityQueue<>((a, b) -> Long.compare(a.restUntil, b.restUntil));
+    private long sweepAt;
+
+    Forgetting(Agenda agenda, Targets targets, Map<String, Integer> indexOf, Map<String, Turns> turns, Collection<Held> held,
+            ToDoubleFunction<Store> limits, ToDoubleFunction<Store> reserves) {
+        this.agenda = agenda;
+        this.targets = targets;
+        this.indexOf = indexOf;
+        this.turns = turns;
+        this.held = held;
+        this.limits = limits;
+        this.reserves = reserves;
+    }
+
+    /** The last access of a key left; the key may still rest. */
+    void left(Turns key) {
+        resting.add(key);
+    }
+
+    void turn(long now) {
+        while (!resting.isEmpty() && resting.peek().restUntil <= now) {
+            Turns key = resting.poll();
+            if (key.order.isEmpty()) {
+                turns.remove(key.extent, key);
+            }
+        }
+        for (int i = 0; i < A_TURN && !agenda.kept.isEmpty() && agenda.kept.peekFirst().lookAt(AFTER) <= now; i++) {
+            Kept oldest = agenda.kept.pollFirst();
+            boolean gone = oldest.usedAt + AFTER <= now
+                    && (oldest instanceof Volume v ? forgets(v) : forgets((Reservation) oldest));
+            if (!gone) {
+                oldest.lookedAt = now;
+                agenda.kept.addLast(oldest);
+            }
+        }
+        if (now >= sweepAt) {
+            sweepAt = now + SWEEP;
+            sweep(now);
+        }
+    }
+
+    private boolean forgets(Volume v) {
+        boolean gains = v.limit != null && holdsLess(limits, v.limit, agenda.opened(v.limit))
+                || v.reserve != null && holdsLess(reserves, v.reserve, new Store(v.reserve));
+        boolean gone = v.held == 0 && !gains;
+        if (gone) {
+            agenda.forget(v);
+        }
+        return gone;
+    }
+
+    private static boolean holdsLess(ToDoubleFunction<Store> holds, Store kept, Store opened) {
+        return holds.applyAsDouble(kept) < holds.applyAsDouble(opened);
+    }
+
+    private boolean forgets(Reservation r) {
+        Node node = r.node;
+        boolean quiet = node.waiting == 0;
+        boolean behind = r.finish <= node.virtualTime && !quiet && r.extra <= node.byExtra.first().extra;
+        if (!r.queue.isEmpty() || !quiet && !behind) {
+            return false;
+        }
+        node.virtualTime = Math.max(node.virtualTime, r.finish);
+        node.firstExtra = Math.max(node.firstExtra, r.extra);
+        node.reservations.remove(r.volume);
+        return true;
+    }
+
+    private void sweep(long now) {
+        BitSet needed = new BitSet(targets.count);
+        Set<Node> nodesNeeded = new HashSet<>();
+        for (Held h : held) {
+            if (h.outAt >= 0) {
+                needed.set(h.outAt);
+            }
+            if (h.ranAt >= 0) {
+                needed.set(h.ranAt);
+            }
+            nodesNeeded.add(h.node);
+        }
+        for (int t = 0; t < targets.count; t++) {
+            boolean kept = targets.id[t] == null || targets.usable[t] || needed.get(t) || targets.usableAt[t] == 0;
+            targets.usableAt[t] = kept ? now : targets.usableAt[t];
+            if (now - targets.usableAt[t] >= AFTER) {
+                indexOf.remove(targets.id[t]);
+                agenda.node(targets.shardOf[t]).listed.remove(t);
+                targets.free(t);
+            }
+        }
+        for (Node n : List.copyOf(agenda.nodes())) {
+            if (n.waiting == 0 && n.listed.isEmpty() && n.reservations.isEmpty() && !nodesNeeded.contains(n)) {
+                agenda.forget(n);
+            }
+        }
+    }
+}
--- a/core/src/main/java/milletyoke/Look.java
+++ b/core/src/main/java/milletyoke/Look.java
@@ -43,6 +43,9 @@
         List<TargetLook> all = new ArrayList<>(d.targets.count);
         for (int t = 0; t < d.targets.count; t++) {
             var x = d.targets;
+            if (x.id[t] == null) {
+                continue;
+            }
             all.add(new TargetLook(x.id[t], x.zone[t], x.shardOf[t], x.usable[t], x.launched[t], d.isCold(t), x.out[t],
                     x.window[t], x.lag[t], x.nextTrial[t], d.isTold(t) && x.rest[t] > 0, d.isTold(t), x.crowd[t]));
         }
@@ -59,7 +62,7 @@
     }
 
     public static VolumeLook volume(Decide d, String volume) {
-        State.Volume v = d.volumes.get(volume);
+        State.Volume v = d.agenda.volume(volume);
         if (v == null) {
             return new VolumeLook(-1, 0, 0);
         }
--- a/core/src/main/java/milletyoke/State.java
+++ b/core/src/main/java/milletyoke/State.java
@@ -49,13 +49,33 @@
         double[] bar = {};
         long[] rest = {};
         final List<ArrayDeque<Spent>> coldSpent = new ArrayList<>();
+        /** When it was last found usable, or needed; 0 where nobody has looked yet. */
+        long[] usableAt = {};
+        /** Indexes whose target was forgotten. */
+        private final ArrayDeque<Integer> free = new ArrayDeque<>();
         /** Accesses whose relay is out there and not presumed lost, in the order of sending. */
         final List<ArrayList<Held>> outs = new ArrayList<>();
         /** When what is owed there is to be looked at again: no later than it can be silent or lost. */
         final Timetable due = new Timetable();
 
         int add(String name) {
+            if (!free.isEmpty()) {
+                int reused = free.poll();
+                id[reused] = name;
+                return reused;
+            }
             int t = count++;
+            if (count > id.length) {
+                grow(Math.max(16, 2 * id.length));
+            }
+            coldSpent.add(new ArrayDeque<>());
+            outs.add(new ArrayList<>());
+            id[t] = name;
+            return t;
+        }
+
+        private void grow(int count) {
+            usableAt = Arrays.copyOf(usableAt, count);
             id = Arrays.copyOf(id, count);
             zone = Arrays.copyOf(zone, count);
             shardOf = Arrays.copyOf(shardOf, count);
@@ -76,10 +96,35 @@
             toldUntil = Arrays.copyOf(toldUntil, count);
             rest = Arrays.copyOf(rest, count);
             bar = Arrays.copyOf(bar, count);
-            coldSpent.add(new ArrayDeque<>());
-            outs.add(new ArrayList<>());
-            id[t] = name;
-            return t;
+        }
+
+        /** Forgets a target: its index is as if never used, and may be used again. */
+        void free(int t) {
+            id[t] = null;
+            zone[t] = null;
+            shardOf[t] = 0;
+            usable[t] = false;
+            launched[t] = 0;
+            out[t] = 0;
+            life[t] = 0;
+            window[t] = 0;
+            lag[t] = 0;
+            took[t] = 0;
+            heardAt[t] = 0;
+            answeredSent[t] = 0;
+            halvedAt[t] = 0;
+            nextTrial[t] = 0;
+            mayTry[t] = false;
+            askedAt[t] = 0;
+            crowd[t] = 0;
+            toldUntil[t] = 0;
+            bar[t] = 0;
+            rest[t] = 0;
+            usableAt[t] = 0;
+            coldSpent.get(t).clear();
+            outs.get(t).clear();
+            due.set(t, Timetable.NEVER);
+            free.add(t);
         }
 
         void relist(int t, Event.Target target) {
@@ -220,11 +265,6 @@
             return plan.limitRate() / hosts();
         }
 
-        /** The store of that limit; a new one is empty, since a former life may have spent it. */
-        Store limit() {
-            return volume.limitFor(access);
-        }
-
         double reserve() {
             return plan == null ? 0 : plan.reserve();
         }
@@ -238,8 +278,21 @@
         }
     }
 
+    /** What is kept for when its owner returns. */
+    abstract static class Kept {
+        /** When it was last used, and last looked at by who forgets. */
+        long usedAt;
+        long lookedAt;
+
+        long lookAt(long after) {
+            return lookedAt + after;
+        }
+    }
+
     /** What is kept of one volume, whichever nodes it goes to. */
-    static final class Volume {
+    static final class Volume extends Kept {
+        /** Accesses held. */
+        int held;
         final String name;
         /** Its stores, null before they are first used. */
         Store limit;
@@ -255,19 +308,9 @@
             this.name = name;
         }
 
-        /** Its limit's store; a new one, empty, where there is none. */
-        Store limitFor(Event.Access access) {
-            if (limit == null) {
-                limit = new Store();
-                limit.follow(access);
-            }
-            return limit;
-        }
-
         Store reserveFor(Event.Access access) {
             if (reserve == null) {
-                reserve = new Store();
-                reserve.follow(access);
+                reserve = new Store(access.plan(), 0);
             }
             return reserve;
         }
@@ -283,6 +326,10 @@
     static final class Node {
         /** Its place in the order of making. */
         final int made;
+        final int slot;
+        final int shard;
+        /** The extra tag that a reservation starts with: the highest of those forgotten here. */
+        double firstExtra;
         int target = -1;
         int waiting;
         double virtualTime;
@@ -306,8 +353,10 @@
         final TreeSet<Held> byAgreed = new TreeSet<>(Held.BY_AGREED);
         final Map<String, TreeSet<Held>> byExtent = new HashMap<>();
 
-        Node(int made) {
+        Node(int made, int slot, int shard) {
             this.made = made;
+            this.slot = slot;
+            this.shard = shard;
         }
 
         /** Takes a reservation out of every order, so that its tags and queue may change. */
@@ -419,7 +468,7 @@
     }
 
     /** A volume's reservation queue at one node, with its three tags. */
-    static final class Reservation {
+    static final class Reservation extends Kept {
         static final Comparator<Reservation> BY_MAKING = (a, b) -> Long.compare(a.made, b.made);
         /** The one tie-break of tags: who was made first. */
         static final Comparator<Reservation> BY_FINISH = (a, b) -> order(Double.compare(a.finish, b.finish), a, b);
@@ -477,6 +526,26 @@
         String plan;
         double hosts;
 
+        /** One that starts empty. */
+        Store(String plan, long at) {
+            this.plan = plan;
+            this.at = at;
+            hosts = 1;
+        }
+
+        /** One host's part of what a volume not seen before has under a plan. */
+        Store(Store unseen, String plan, double hosts) {
+            this.plan = plan;
+            this.hosts = hosts;
+            units = unseen.units / hosts;
+            at = unseen.at;
+        }
+
+        /** One that was never used, filled by the same plan. */
+        Store(Store like) {
+            this(like.plan, 0);
+        }
+
         void set(double level, long time) {
             units = level;
             at = time;
@@ -498,6 +567,11 @@
     /** The accesses of one key in the order they were taken, and until when the key rests. */
     static final class Turns {
         final TreeSet<Held> order = new TreeSet<>(Held.BY_TAKING);
+        final String extent;
         long restUntil;
+
+        Turns(String extent) {
+            this.extent = extent;
+        }
     }
 }
--- /dev/null
+++ b/core/src/test/java/milletyoke/ForgettingTest.java
@@ -0,0 +1,285 @@
+package milletyoke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import milletyoke.port.Action;
+import milletyoke.port.Event;
+import milletyoke.port.Outcome;
+import milletyoke.port.Provisioning;
+import milletyoke.port.Provisioning.*;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What is forgotten, that nobody gains by it, and that years of service need no more memory than what is in use. */
+@Timeout(300)
+class ForgettingTest {
+    private static final long MINUTE = 60_000_000L;
+
+    /** One token store a volume that forgets nothing, kept by the plans as they are told: a second opinion on rule 7. */
+    private static final class Auditor {
+        /** By the number in a volume's name; arrays, so that the audit's own memory does not grow. */
+        private final double[] levels;
+        private final long[] at;
+        private final List<double[]> plans = new ArrayList<>();
+        private final List<Long> since = new ArrayList<>();
+
+        Auditor(long startedAt, Plan plan, int volumes) {
+            levels = new double[volumes];
+            at = new long[volumes];
+            java.util.Arrays.fill(at, startedAt);
+            told(startedAt, plan);
+        }
+
+        void told(long at, Plan plan) {
+            plans.add(new double[] {plan.limitRate(), plan.limitDepth() + plan.limitSlack()});
+            since.add(at);
+        }
+
+        /** What may be sent at most now: filled through each plan in turn, by what that allowed. */
+        double now(int volume, long now) {
+            double units = levels[volume];
+            for (int p = 0; p < plans.size(); p++) {
+                long from = Math.max(at[volume], since.get(p));
+                long to = p + 1 < plans.size() ? since.get(p + 1) : now;
+                if (to >= from) {
+                    units = Math.min(plans.get(p)[1], units + plans.get(p)[0] * (to - from) / 1e6);
+                }
+            }
+            return units;
+        }
+
+        void sent(String name, long now, double units) {
+            int volume = Integer.parseInt(name.substring(1));
+            double left = now(volume, now) - units;
+            assertTrue(left >= -1e-6, () -> name + " sent " + units + " with " + (left + units) + " left at " + now);
+            levels[volume] = left;
+            at[volume] = now;
+        }
+    }
+
+    /** A module, its world that answers after five milliseconds, and the auditor. */
+    private static final class Service {
+        final Decide decide = new Decide();
+        final Map<String, Event.Access> sent = new HashMap<>();
+        final List<String> out = new ArrayList<>();
+        final Auditor auditor;
+        long now = 1_000_000_000_000L;
+        long relays, rejects, next;
+        List<Plan> plans;
+
+        Service(Plan capped, int shards) {
+            this(capped, shards, 100);
+        }
+
+        Service(Plan capped, int shards, int volumes) {
+            plans = List.of(new Plan("free", 0, 1, 0, 0, 0), new Plan("paid", 6, 2, 0, 0, 0), capped);
+            auditor = new Auditor(now, capped, volumes);
+            List<Event.Target> targets = new ArrayList<>();
+            for (int t = 0; t < shards; t++) {
+                targets.add(new Event.Target(t, "t" + t, "z", Event.Health.ON, 0));
+            }
+            tell(new Event.Start(1, provisioning()), new Event.TargetList(Event.Scope.REPLACE, targets));
+        }
+
+        Provisioning provisioning() {
+            return new Provisioning(3, List.of(new Category("read", Repeats.HARMLESS, Group.ALL, 0, false, 300_000, 2),
+                    new Category("write", Repeats.ONE_SHOT, Group.ALL, 0, true, 500_000, 2)), plans,
+                    new Allowances(3, true, true, true, 500_000),
+                    new Bounds(200_000, 5_000_000, 0.3, 10, 1_000_000, 2, 10, 0.1, 2_000_000, 10_000_000), false);
+        }
+
+        void plan(Plan capped) {
+            plans = List.of(plans.get(0), plans.get(1), capped);
+            auditor.told(now, capped);
+            tell(new Event.Reprovisioned(provisioning()));
+        }
+
+        void access(String volume, int shard, String plan, String key, double units) {
+            Event.Access a = new Event.Access("a" + next++, shard, key, volume, 2_000_000, plan, key == null || key.startsWith("x") ? "read" : "write",
+                    1, units);
+            sent.put(a.id(), a);
+            tell(a);
+        }
+
+        void tell(Event... events) {
+            for (Action action : decide.decide(now, List.of(events))) {
+                if (action instanceof Action.Relay r) {
+                    relays++;
+                    out.add(r.id());
+                    Event.Access a = sent.get(r.id());
+                    if (a.plan().equals("capped")) {
+                        auditor.sent(a.volume(), now, a.units());
+                    }
+                } else if (action instanceof Action.Reject r) {
+                    rejects++;
+                    sent.remove(r.id());
+                } else if (action instanceof Action.BreakOff b) {
+                    sent.remove(b.id());
+                } else if (action instanceof Action.Probe p) {
+                    now += 1_000;
+                    tell(new Event.Probed(p.target(), Outcome.SUCCEEDED, 1_000, 0));
+                }
+            }
+        }
+
+        void answer() {
+            now += 5_000;
+            while (!out.isEmpty()) {
+                String id = out.remove(out.size() - 1);
+                sent.remove(id);
+                tell(new Event.Ended(id, 0, true, Outcome.SUCCEEDED, 5_000));
+            }
+        }
+
+        void pass(long time) {
+            for (long until = now + time; now < until; now += Math.max(4_000, Math.min(MINUTE, until - now) / 4)) {
+                tell(new Event.Alarm());
+                answer();
+            }
+        }
+
+        int kept() {
+            return decide.agenda.kept.size();
+        }
+    }
+
+    @Test
+    void whatAVolumeLeavesBehindGoesOnceItsStoreIsFull() {
+        Service service = new Service(new Plan("capped", 0, 1, 0.1, 300, 0), 4);
+        service.pass(60 * MINUTE);
+        for (int i = 0; i < 30; i++) {
+            service.access("v0", 1, "capped", null, 10);
+            service.answer();
+        }
+        assertEquals(30, service.relays, "the store was full");
+        service.pass(12 * MINUTE);
+        assertTrue(service.decide.agenda.volume("v0") != null, "its store is far from full: 72 units of 300");
+        service.access("v0", 1, "capped", null, 72);
+        service.access("v0", 1, "capped", null, 10);
+        service.answer();
+        assertEquals(31, service.relays, "returning, it has what it would have had");
+        service.pass(120 * MINUTE);
+        assertEquals(null, service.decide.agenda.volume("v0"));
+        assertEquals(0, service.kept());
+    }
+
+    /** Guards rule 7: a limit raised while a volume is forgotten must not be found full on its return. */
+    @Test
+    void aLimitRaisedWhileForgottenFillsAsIfKept() {
+        Service service = new Service(new Plan("capped", 0, 1, 10, 20, 0), 4);
+        service.pass(MINUTE);
+        service.access("v0", 1, "capped", null, 20);
+        service.answer();
+        service.pass(30 * MINUTE);
+        assertEquals(null, service.decide.agenda.volume("v0"));
+        service.plan(new Plan("capped", 0, 1, 10, 500, 0));
+        service.now += 10_000_000; // 20 units then, 100 more since
+        service.access("v0", 1, "capped", null, 121);
+        service.access("v1", 1, "capped", null, 121);
+        assertEquals(1, service.relays);
+        service.access("v0", 1, "capped", null, 119);
+        service.access("v1", 1, "capped", null, 119); // nor does one that was never seen
+        assertEquals(3, service.relays);
+    }
+
+    /** Tags: whoever returns has a start and an extra tag no lower than had it been kept. */
+    @Test
+    void nobodyReturnsWithLowerTags() {
+        SplittableRandom chance = new SplittableRandom(3);
+        int forgotten = 0;
+        boolean joined = false;
+        for (int round = 0; round < 300; round++) {
+            Service service = new Service(new Plan("capped", 0, 1, 50, 50, 5), 1);
+            Map<String, double[]> before = new HashMap<>();
+            for (int i = 0; i < 60; i++) {
+                service.access("v" + chance.nextInt(12), 0, chance.nextBoolean() ? "free" : "paid",
+                        "x" + chance.nextInt(3), 1 + chance.nextInt(9));
+                if (chance.nextInt(3) == 0) {
+                    service.answer();
+                }
+            }
+            service.answer();
+            service.answer();
+            State.Node node = service.decide.agenda.node(0);
+            node.reservations.forEach((v, r) -> before.put(v.name, new double[] {Math.max(node.virtualTime, r.finish), r.extra}));
+            joined |= before.values().stream().anyMatch(tags -> tags[1] > 0);
+            service.pass(25 * MINUTE);
+            forgotten += node.reservations.isEmpty() ? before.size() : 0;
+            for (String v : before.keySet()) {
+                service.access(v, 0, "free", null, 1);
+                State.Reservation r = node.reservations.get(service.decide.agenda.volume(v));
+                assertTrue(r.finish >= before.get(v)[0] && r.extra >= before.get(v)[1], v);
+            }
+        }
+        assertTrue(joined && forgotten > 1_000, forgotten + " forgotten");
+    }
+
+    @Test
+    void aTargetThatLeftGoesAndItsPlaceIsUsedAgain() {
+        Service service = new Service(new Plan("capped", 0, 1, 50, 50, 5), 3);
+        for (int generation = 0; generation < 40; generation++) {
+            service.tell(new Event.TargetList(Event.Scope.REPLACE, List.of(new Event.Target(100 + generation, "g" + generation, "z",
+                    Event.Health.ON, 0))));
+            service.access("v" + generation, 100 + generation, "free", "k" + generation, 1);
+            service.answer();
+            service.pass(15 * MINUTE);
+        }
+        assertTrue(service.decide.targets.count < 8, service.decide.targets.count + " places");
+        assertTrue(service.decide.agenda.nodes().size() < 8, service.decide.agenda.nodes().size() + " nodes");
+        assertEquals(40, service.relays);
+    }
+
+    /** Weeks of service; {@code -Dmilletyoke.soak=1000000} is the whole of it. */
+    @Test
+    void yearsOfServiceNeedWhatIsInUse() {
+        int volumes = Integer.getInteger("milletyoke.soak", 100_000);
+        Service service = new Service(new Plan("capped", 0, 1, 2, 20, 1), 30, volumes);
+        SplittableRandom chance = new SplittableRandom(9);
+        long each = 21L * 24 * 60 * MINUTE / 1_000_000; // a million volumes in three weeks
+        int most = 0, mostTargets = 0, mostNodes = 0, generation = 0, replaceEvery = 100;
+        List<Long> heaps = new ArrayList<>();
+        long began = service.now;
+        for (int v = 0; v < volumes; v++) {
+            String plan = service.plans.get(v % 3).name();
+            for (int i = chance.nextInt(6); i >= 0; i--) {
+                service.access("v" + v, 1000 + v % 30 + generation / 30 * 30, plan, i % 3 == 0 ? "k" + v : null, 1 + chance.nextInt(9));
+            }
+            if (chance.nextInt(4) == 0 && v > 0) { // one of before returns, from minutes to all the time ago
+                int old = v - 1 - chance.nextInt(Math.min(v, 1 << chance.nextInt(20)));
+                service.access("v" + old, 1000 + chance.nextInt(30), service.plans.get(old % 3).name(), null, 1 + chance.nextInt(30));
+            }
+            service.answer();
+            service.now += chance.nextLong(2 * each);
+            service.tell(new Event.Alarm());
+            if (v % replaceEvery == 0) {
+                service.tell(new Event.TargetList(Event.Scope.UPDATE, List.of(
+                        new Event.Target(1000 + generation, "t" + generation, "z", Event.Health.ON, service.now),
+                        new Event.Target(1000 + Math.max(0, generation - 60), "t" + Math.max(0, generation - 60), "z",
+                                Event.Health.GONE, 0))));
+                generation++;
+            }
+            if (v % 50_000 == 0) {
+                service.plan(new Plan("capped", 0, 1, 1 + chance.nextInt(5), 10 + chance.nextInt(60), 1));
+            }
+            most = Math.max(most, service.kept());
+            mostTargets = Math.max(mostTargets, service.decide.targets.count);
+            mostNodes = Math.max(mostNodes, service.decide.agenda.nodes().size());
+            if (v % Math.max(1, volumes / 10) == volumes / 20) {
+                System.gc();
+                heaps.add((Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) / 1024);
+            }
+        }
+        System.out.printf("%d volumes and %d targets over %.1f days, %d relays, %d rejected: at most %d volumes and reservations, "
+                + "%d places of targets, %d shards kept; live heap KiB after collections on the way %s%n", volumes, generation,
+                (service.now - began) / 86_400e6, service.relays, service.rejects, most, mostTargets, mostNodes, heaps);
+        assertTrue(service.relays > volumes, service.relays + " relays");
+        assertTrue(most < 6_000, most + " kept of " + volumes);
+        assertTrue(mostTargets < 200 && mostNodes < 250, mostTargets + " targets, " + mostNodes + " shards");
+    }
+}
--- a/core/src/test/java/milletyoke/reference/Decide.java
+++ b/core/src/test/java/milletyoke/reference/Decide.java
@@ -73,6 +73,7 @@
 
     final Map<Integer, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Held> held = new LinkedHashMap<>();
+    final Map<String, Store> unseen = new LinkedHashMap<>();
     final Map<String, Store> limits = new HashMap<>(), reserves = new HashMap<>();
     private final Map<String, Turns> turns = new HashMap<>();
     private final Map<String, Long> longestTtl = new HashMap<>();
@@ -131,6 +132,12 @@
         given.categories().forEach(c -> categories.put(c.name(), c));
         shortestAgreed = given.categories().stream().mapToLong(Category::agreedTime).min().orElse(0);
         given.plans().forEach(p -> plans.put(p.name(), p));
+        for (Plan p : given.plans()) {
+            Store s = unseen.computeIfAbsent(p.name(), n -> new Store());
+            s.at = s.plan == null ? now : s.at;
+            s.plan = p.name();
+            s.hosts = 1;
+        }
     }
 
     /**
@@ -141,8 +148,10 @@
      */
     private void reprovision(Provisioning next) {
         limits.values().forEach(this::settle);
+        unseen.values().forEach(this::settle);
         provision(next);
         limits.values().forEach(this::settle);
+        unseen.values().forEach(this::settle);
         held.values().forEach(h -> h.plan = plans.get(h.access.plan()));
         nodes.values().forEach(n -> n.reservations.values().forEach(this::reweigh));
     }
@@ -594,6 +603,8 @@
     private Store limit(Held h) {
         return limits.computeIfAbsent(h.access.volume(), v -> {
             Store s = new Store();
+            s.units = unseen.get(h.access.plan()).units / hosts(h);
+            s.at = unseen.get(h.access.plan()).at;
             s.plan = h.access.plan();
             s.hosts = hosts(h);
             return s;
