--- /dev/null
+++ b/benchmarks/src/main/java/milletyoke/benchmarks/Turn.java
@@ -0,0 +1,32 @@
+package milletyoke.benchmarks;
+
+import java.util.concurrent.TimeUnit;
+import milletyoke.Decide;
+import org.openjdk.jmh.annotations.*;
+
+/** What one call costs, one access coming and one ending, over the grid of held, volumes and targets. */
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 2, time = 400, timeUnit = TimeUnit.MILLISECONDS)
+@Measurement(iterations = 3, time = 400, timeUnit = TimeUnit.MILLISECONDS)
+@Fork(value = 1, jvmArgsAppend = {"-Xms2g", "-Xmx2g", "-XX:+UseSerialGC"})
+@State(Scope.Thread)
+public class Turn {
+    @Param({"100", "1000", "10000", "50000"})
+    public int held;
+    @Param({"100", "2000", "50000"})
+    public int volumes;
+    @Param({"10", "100", "1000"})
+    public int targets;
+    private Steady steady;
+
+    @Setup(Level.Trial)
+    public void fill() {
+        steady = new Steady(new Decide()::decide, held, volumes, targets);
+    }
+
+    @Benchmark
+    public int turn() {
+        return steady.turn();
+    }
+}
