Frames of one turn leave in one write; payloads are parsed in place; no strings put together

The daemon's own path: each frame was one write of its connection by the loop's thread, copied twice on its way out and twice on its way in, and each access put four names of series together. Now what the loop posts in a turn leaves a connection in one write, encoded once into one array; fields of bytes are views of the array read; series are found by kind and name.

--- a/cli/src/main/java/milletyoke/cli/Main.java
+++ b/cli/src/main/java/milletyoke/cli/Main.java
@@ -13,7 +13,7 @@
 @Command(name = "milletyoke", mixinStandardHelpOptions = true, version = "milletyoke 0.2.0",
         description = "A storage gateway that schedules a host's reads and writes over storage nodes.",
         subcommands = {Demo.class, RunInitiator.class, RunTarget.class, RunDiscovery.class, RunLoad.class,
-            Rehearse.class, RunAudit.class, Check.class, Ask.Status.class, Ask.Targets.class, Ask.Volumes.class,
+            Rehearse.class, Rates.class, RunAudit.class, Check.class, Ask.Status.class, Ask.Targets.class, Ask.Volumes.class,
             Ask.Events.class, Ask.Drain.class, Ask.Undrain.class, MakeToken.class, Config.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:failed", "2:wrong use, or a file that cannot be used"})
--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -506,7 +506,7 @@
 
     /** Whether the widest gap of waiting volumes' extra tags stays within the margin after one step. */
     private boolean withinMargin(Node node, Reservation one, double step) {
-        return node.gap(one, step) <= MARGIN_STEPS * meanUnits / node.byWeight.first().weight;
+        return node.gap(one, step) <= MARGIN_STEPS * meanUnits / node.lightest();
     }
 
     private int roomAt(Node node) {
--- a/core/src/main/java/milletyoke/Look.java
+++ b/core/src/main/java/milletyoke/Look.java
@@ -56,7 +56,7 @@
         List<NodeLook> all = new ArrayList<>(d.agenda.byShard().size());
         for (Map.Entry<Integer, State.Node> entry : d.agenda.byShard().entrySet()) {
             State.Node n = entry.getValue();
-            all.add(new NodeLook(entry.getKey(), n.target < 0 ? null : d.targets.id[n.target], n.waiting, n.waitingHere.size()));
+            all.add(new NodeLook(entry.getKey(), n.target < 0 ? null : d.targets.id[n.target], n.waiting, n.byExtra.size()));
         }
         return all;
     }
--- a/core/src/main/java/milletyoke/State.java
+++ b/core/src/main/java/milletyoke/State.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import milletyoke.port.Event;
@@ -337,14 +338,13 @@
         /** Targets that the list last named for this shard, usable or not, in the order of their index. */
         final TreeSet<Integer> listed = new TreeSet<>();
 
-        /** Reservations that wait: in order of making, of extra tag, of weight. */
-        final TreeSet<Reservation> waitingHere = new TreeSet<>(Reservation.BY_MAKING);
+        /** Reservations that wait, by extra tag; and how many of each weight. */
         final TreeSet<Reservation> byExtra = new TreeSet<>(Reservation.BY_EXTRA);
-        final TreeSet<Reservation> byWeight = new TreeSet<>(Reservation.BY_WEIGHT);
+        private final TreeMap<Double, Integer> weights = new TreeMap<>();
         /** Those that may have an access to send, by finish tag; and those that may be owed, too. */
         final TreeSet<Reservation> ready = new TreeSet<>(Reservation.BY_FINISH);
         final TreeSet<Reservation> owed = new TreeSet<>(Reservation.BY_FINISH);
-        /** Those not in both of these, by when to look at them again. */
+        /** Those not in both of these that time alone may bring back, by when to look at them again. */
         final TreeSet<Reservation> parked = new TreeSet<>(Reservation.BY_LOOK);
         /** More than one volume's own affairs may have changed here since what is parked was parked. */
         boolean changed;
@@ -361,12 +361,13 @@
 
         /** Takes a reservation out of every order, so that its tags and queue may change. */
         void unfile(Reservation r) {
-            if (waitingHere.remove(r)) {
+            if (r.filed) {
+                r.filed = false;
                 byExtra.remove(r);
-                byWeight.remove(r);
-                ready.remove(r);
-                owed.remove(r);
-                parked.remove(r);
+                weights.merge(r.weight, -1, (some, less) -> some == 1 ? null : some + less);
+                unready(r);
+                unowed(r);
+                unparked(r);
                 r.volume.waiting.remove(r);
             }
         }
@@ -374,27 +375,64 @@
         /** Files it under the tags it has now, where it waits; it is to be looked at. */
         void file(Reservation r) {
             if (!r.queue.isEmpty()) {
-                waitingHere.add(r);
+                r.filed = true;
                 byExtra.add(r);
-                byWeight.add(r);
+                weights.merge(r.weight, 1, Integer::sum);
+                look(r);
+                r.volume.waiting.add(r);
+            }
+        }
+
+        /** The least weight of those that wait. */
+        double lightest() {
+            return weights.firstKey();
+        }
+
+        // A reservation knows in which of these it is, so that it need not be looked for in the others.
+
+        private void look(Reservation r) {
+            if (!r.isReady) {
+                r.isReady = true;
                 ready.add(r);
+            }
+            if (!r.isOwed) {
+                r.isOwed = true;
                 owed.add(r);
-                r.volume.waiting.add(r);
+            }
+        }
+
+        private void unready(Reservation r) {
+            if (r.isReady) {
+                r.isReady = false;
+                ready.remove(r);
+            }
+        }
+
+        private void unowed(Reservation r) {
+            if (r.isOwed) {
+                r.isOwed = false;
+                owed.remove(r);
+            }
+        }
+
+        private void unparked(Reservation r) {
+            if (r.isParked) {
+                r.isParked = false;
+                parked.remove(r);
             }
         }
 
         /** Has a reservation that waits looked at, whatever was found before. */
         void unpark(Reservation r) {
-            if (waitingHere.contains(r)) {
-                parked.remove(r);
-                ready.add(r);
-                owed.add(r);
+            if (r.filed) {
+                unparked(r);
+                look(r);
             }
         }
 
         /** Weights and finish tags of those that wait follow their plans. */
         void reweigh() {
-            for (Reservation r : List.copyOf(waitingHere)) {
+            for (Reservation r : List.copyOf(byExtra)) {
                 unfile(r);
                 r.weight = r.queue.first().weight();
                 r.retag();
@@ -417,21 +455,27 @@
 
         /** Not to be looked at as ready, or only not as owed, before {@code again}. */
         void park(Reservation r, boolean ready, long again) {
-            owed.remove(r);
+            unowed(r);
             if (!ready) {
-                this.ready.remove(r);
+                unready(r);
+            }
+            if (r.isParked && r.lookAt == again) {
+                return;
+            }
+            unparked(r);
+            if (again != Timetable.NEVER) { // else only what happens can bring it back
+                r.lookAt = again;
+                r.isParked = true;
+                parked.add(r);
             }
-            parked.remove(r);
-            r.lookAt = again;
-            parked.add(r);
         }
 
         /** Has all looked at that is due, or all that wait where more changed. */
         void refresh(long now) {
             if (changed) {
+                parked.forEach(r -> r.isParked = false);
                 parked.clear();
-                ready.addAll(waitingHere);
-                owed.addAll(waitingHere);
+                byExtra.forEach(this::look);
                 changed = false;
             }
             while (!parked.isEmpty() && parked.first().lookAt <= now) {
@@ -473,7 +517,6 @@
         /** The one tie-break of tags: who was made first. */
         static final Comparator<Reservation> BY_FINISH = (a, b) -> order(Double.compare(a.finish, b.finish), a, b);
         static final Comparator<Reservation> BY_EXTRA = (a, b) -> order(Double.compare(a.extra, b.extra), a, b);
-        static final Comparator<Reservation> BY_WEIGHT = (a, b) -> order(Double.compare(a.weight, b.weight), a, b);
         static final Comparator<Reservation> BY_LOOK = (a, b) -> order(Long.compare(a.lookAt, b.lookAt), a, b);
 
         /** Its place in the order of making, over all nodes. */
@@ -487,6 +530,8 @@
         double extra;
         /** While it is parked: when to look at it again. */
         long lookAt;
+        /** In which orders of its node it is now. */
+        private boolean filed, isReady, isOwed, isParked;
 
         Reservation(long made, Node node, Volume volume) {
             this.made = made;
--- a/gateway/src/main/java/milletyoke/gateway/link/Links.java
+++ b/gateway/src/main/java/milletyoke/gateway/link/Links.java
@@ -30,6 +30,7 @@
  * <p>Owned by the loop; free of sockets and clocks, so the lab can run it.
  */
 public final class Links {
+    private final Outbox outbox;
     private final Transport transport;
     private final Dialler dialler;
     private final Outcomes outcomes;
@@ -43,7 +44,8 @@
     private long nextDial = 1;
     private long sweepAt;
 
-    public Links(Transport transport, Dialler dialler, Outcomes outcomes, Counts counts) {
+    public Links(Transport transport, Dialler dialler, Outcomes outcomes, Counts counts, Outbox outbox) {
+        this.outbox = outbox;
         this.transport = transport;
         this.dialler = dialler;
         this.outcomes = outcomes;
@@ -123,7 +125,7 @@
             return;
         }
         if (out.sent()) {
-            out.conn.line.send(Frame.newBuilder().setCancel(Cancel.newBuilder().setNumber(out.number)).build());
+            outbox.post(out.conn.line, Frame.newBuilder().setCancel(Cancel.newBuilder().setNumber(out.number)).build());
             end(out, Outcome.CANCELLED, null, null);
         } else {
             end(out, Outcome.MOOT, null, null);
@@ -156,7 +158,7 @@
             boolean room = c.outs.size() < transport.streams() && c.line.isOpen();
             least = room && (least == null || c.outs.size() < least.outs.size()) ? c : least;
         }
-        if (least == null || !least.line.send(out.frame)) {
+        if (least == null || !outbox.post(least.line, out.frame)) {
             return false;
         }
         out.conn = least;
--- a/gateway/src/main/java/milletyoke/gateway/loop/Ledger.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Ledger.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import milletyoke.gateway.link.Outbox;
 import milletyoke.gateway.link.Outcomes;
 import milletyoke.gateway.picture.Accounts;
 import milletyoke.gateway.picture.Picture.Decided;
@@ -58,6 +59,7 @@
     private final Places places;
     private final Accounts accounts;
     private final LongSupplier time;
+    private final Outbox outbox;
     private Outlet outlet;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<Line, Map<Long, Entry>> byClient = new LinkedHashMap<>();
@@ -70,7 +72,8 @@
     private int unanswered;
 
     /** @param mark what makes marks of this life unlike any other's, for accesses whose client gave none */
-    Ledger(String mark, long answerSlack, Counts counts, Places places, Accounts accounts, LongSupplier time) {
+    Ledger(String mark, long answerSlack, Counts counts, Places places, Accounts accounts, LongSupplier time, Outbox outbox) {
+        this.outbox = outbox;
         this.accounts = accounts;
         this.time = time;
         this.mark = mark;
@@ -104,13 +107,14 @@
         if (now >= at + a.getTimeLeft()) {
             places.free(client, a, now - at);
             counts.add(Count.EXPIRED);
-            client.send(Frame.newBuilder().setAnswer(Answer.newBuilder().setNumber(a.getNumber())
+            outbox.post(client, Frame.newBuilder().setAnswer(Answer.newBuilder().setNumber(a.getNumber())
                     .setFinal(Final.REJECTED).setReason(Reason.EXPIRED)).build());
             return;
         }
         String id = client.id() + "-" + a.getNumber();
         if (entries.containsKey(id)) {
             places.free(client, a, now - at);
+            outbox.flush(); // answers of this turn go before the farewell
             client.bye("access number " + a.getNumber() + " is used twice");
             return;
         }
@@ -296,7 +300,7 @@
         if (payload != null) {
             answer.setPayload(payload);
         }
-        e.client.send(Frame.newBuilder().setAnswer(answer).build());
+        outbox.post(e.client, Frame.newBuilder().setAnswer(answer).build());
         answered(e, how == Final.ANSWERED ? Accounts.End.ANSWERED : how == Final.REJECTED ? Accounts.End.REJECTED
                 : Accounts.End.BROKEN_OFF);
     }
--- a/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
@@ -10,6 +10,7 @@
 import milletyoke.Decide;
 import milletyoke.gateway.link.Dialler;
 import milletyoke.gateway.link.Links;
+import milletyoke.gateway.link.Outbox;
 import milletyoke.gateway.picture.Accounts;
 import milletyoke.gateway.picture.Painter;
 import milletyoke.gateway.picture.Picture;
@@ -75,6 +76,7 @@
     private final Painter painter;
     private final Ledger ledger;
     private final Links links;
+    private final Outbox outbox = new Outbox();
     private final Roster roster;
     private final Histogram turnTimes = new Histogram(60_000_000, 3);
     private final Histogram recent = new Histogram(60_000_000, 2);
@@ -113,8 +115,8 @@
         accounts = new Accounts(setup.deployment().provisioning());
         painter = new Painter(setup.name(), decide, accounts);
         ledger = new Ledger(setup.name() + "." + clock.getAsLong() + ".", setup.deployment().answerSlack(), counts,
-                around::freePlace, accounts, clock);
-        links = new Links(setup.transport(), around, ledger, counts);
+                around::freePlace, accounts, clock, outbox);
+        links = new Links(setup.transport(), around, ledger, counts, outbox);
         roster = new Roster(new Roster.Addresses() {
             @Override
             public void listed(String target, Address address) {
@@ -238,6 +240,7 @@
             fault = thrown;
             LOG.error("the loop failed; everything held is broken off", thrown);
             ledger.breakOffAll();
+            outbox.flush();
         } finally {
             ended.countDown();
         }
@@ -266,7 +269,9 @@
         }
         if (ledger.hasEvents()) {
             decide(now);
-        } else if (took == 0) {
+        }
+        outbox.flush();
+        if (took == 0 && !ledger.hasEvents()) {
             sleep(now);
         }
     }
--- a/gateway/src/main/java/milletyoke/gateway/picture/Accounts.java
+++ b/gateway/src/main/java/milletyoke/gateway/picture/Accounts.java
@@ -56,6 +56,42 @@
         }
     }
 
+    /** The series of one kind, by name; nothing is put together or allocated for a name that is known. */
+    private static final class Kind {
+        private final String prefix;
+        private final Map<String, Series> named = new HashMap<>();
+        private final Series others = new Series();
+
+        Kind(String prefix) {
+            this.prefix = prefix;
+        }
+
+        Series of(String name) {
+            Series known = named.get(name);
+            if (known == null && (named.size() >= MOST_SERIES || name.equals("others"))) {
+                return others;
+            }
+            if (known == null) {
+                known = new Series();
+                named.put(name, known);
+            }
+            return known;
+        }
+
+        /** Puts what happened into a row; a series that had nothing in its second gives its slot back. */
+        void close(Map<String, Second> row) {
+            named.forEach((name, s) -> {
+                if (!s.isEmpty()) {
+                    row.put(prefix + name, s.close());
+                }
+            });
+            named.keySet().removeIf(name -> !row.containsKey(prefix + name));
+            if (!others.isEmpty()) {
+                row.put(prefix + "others", others.close());
+            }
+        }
+    }
+
     /** A volume's account and what else is told of it. */
     static final class OfVolume {
         final String plan;
@@ -79,8 +115,9 @@
     private final LinkedHashMap<String, OfVolume> volumes = new LinkedHashMap<>(64, 0.75f, true);
     private final Set<String> dirty = new LinkedHashSet<>();
     private final List<String> forgotten = new ArrayList<>();
-    private final Map<String, Series> series = new HashMap<>();
-    private final Map<String, Integer> seriesOfKind = new HashMap<>();
+    private final Kind categorySeries = new Kind("category:"), planSeries = new Kind("plan:"), volumeSeries =
+            new Kind("volume:"), targetSeries = new Kind("target:");
+    private final List<Kind> kinds = List.of(categorySeries, planSeries, volumeSeries, targetSeries);
     private final AtomicReferenceArray<Row> ring = new AtomicReferenceArray<>(SECONDS);
     private long second = -1;
 
@@ -102,12 +139,12 @@
 
     public void asked(long now, String category, String plan, String volume) {
         turn(now);
-        count(categories.get(category), series("category:", category), a -> a.asked++, s -> s.asked++);
-        count(plans.get(plan), series("plan:", plan), a -> a.asked++, s -> s.asked++);
+        count(categories.get(category), categorySeries.of(category), a -> a.asked++, s -> s.asked++);
+        count(plans.get(plan), planSeries.of(plan), a -> a.asked++, s -> s.asked++);
         OfVolume v = volumes.computeIfAbsent(volume, x -> new OfVolume(plan));
         v.lastAsked = now;
         v.held++;
-        count(v.account, series("volume:", volume), a -> a.asked++, s -> s.asked++);
+        count(v.account, volumeSeries.of(volume), a -> a.asked++, s -> s.asked++);
         dirty.add(volume);
         makeRoom();
     }
@@ -116,12 +153,12 @@
     public void ended(long now, String category, String plan, String volume, End how, long took) {
         turn(now);
         boolean inTime = how == End.ANSWERED && took <= agreed.get(category);
-        end(categories.get(category), series("category:", category), how, inTime, took);
-        end(plans.get(plan), series("plan:", plan), how, inTime, took);
+        end(categories.get(category), categorySeries.of(category), how, inTime, took);
+        end(plans.get(plan), planSeries.of(plan), how, inTime, took);
         OfVolume v = volumes.get(volume);
         if (v != null) {
             v.held--;
-            end(v.account, series("volume:", volume), how, inTime, took);
+            end(v.account, volumeSeries.of(volume), how, inTime, took);
             dirty.add(volume);
         }
     }
@@ -130,13 +167,13 @@
         turn(now);
         Account a = targets.size() < 4 * MOST_SERIES ? targets.computeIfAbsent(target, t -> new Account())
                 : targets.get(target);
-        count(a, series("target:", target), x -> x.asked++, s -> s.asked++);
+        count(a, targetSeries.of(target), x -> x.asked++, s -> s.asked++);
     }
 
     /** @param lag microseconds */
     public void relayEnded(long now, String target, End how, long lag) {
         turn(now);
-        end(targets.get(target), series("target:", target), how, how == End.ANSWERED, lag);
+        end(targets.get(target), targetSeries.of(target), how, how == End.ANSWERED, lag);
     }
 
     private interface OnAccount {
@@ -169,18 +206,6 @@
         }
     }
 
-    private Series series(String kind, String name) {
-        Series known = series.get(kind + name);
-        if (known != null) {
-            return known;
-        }
-        boolean room = seriesOfKind.merge(kind, 1, Integer::sum) <= MOST_SERIES;
-        if (!room) {
-            seriesOfKind.merge(kind, -1, Integer::sum);
-        }
-        return series.computeIfAbsent(room ? kind + name : kind + "others", k -> new Series());
-    }
-
     private void makeRoom() {
         if (volumes.size() > MOST_VOLUMES) {
             String eldest = volumes.keySet().iterator().next();
@@ -190,7 +215,7 @@
         }
     }
 
-    /** Closes the seconds that are over. A series that had nothing in its second gives its slot back. */
+    /** Closes the seconds that are over. */
     public void turn(long now) {
         long current = now / 1_000_000;
         if (second == current) {
@@ -198,18 +223,9 @@
         }
         if (second >= 0) {
             Map<String, Second> row = new TreeMap<>();
-            series.forEach((key, s) -> {
-                if (!s.isEmpty()) {
-                    row.put(key, s.close());
-                }
-            });
-            series.keySet().removeIf(key -> {
-                boolean idle = !row.containsKey(key);
-                if (idle && !key.endsWith(":others")) {
-                    seriesOfKind.merge(key.substring(0, key.indexOf(':') + 1), -1, Integer::sum);
-                }
-                return idle;
-            });
+            for (Kind kind : kinds) {
+                kind.close(row);
+            }
             ring.set((int) (second % SECONDS), new Row(second, Map.copyOf(row)));
         }
         second = current;
--- a/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
@@ -32,7 +32,7 @@
     private final Map<Long, String> dials = new LinkedHashMap<>();
     private final List<Fake> lines = new ArrayList<>();
     private final Links links = new Links(new Transport(CONNECT, IDLE, 2, 3, PROBE, 1 << 20, 1 << 20, 1, 1), this, this,
-            new Counts());
+            new Counts(), new Outbox());
 
     /** A connection that keeps what was sent on it. */
     private static final class Fake implements Line {
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
@@ -67,6 +67,13 @@
                 b.answerSlack(), b.drainGrace());
     }
 
+    /** The same day with another number of accesses a second. */
+    public BadDay at(double rate) {
+        Load other = new Load(rate, load.retries(), load.retryWait(), load.impatient(), load.littleTime(), load.vanish());
+        return new BadDay(name, seed, lasts, initiators, held, fleet, categories, kinds, plans, allowances, bounds, listAsked,
+                other, troubles);
+    }
+
     /** How clients know the repeats of a category. */
     public static Demand.Repeats repeats(Provisioning.Category c) {
         return Demand.Repeats.valueOf(c.repeats().name());
--- a/wire/src/main/java/milletyoke/wire/FrameFilter.java
+++ b/wire/src/main/java/milletyoke/wire/FrameFilter.java
@@ -1,8 +1,12 @@
 package milletyoke.wire;
 
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.UnsafeByteOperations;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.List;
 import milletyoke.wire.proto.Frame;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -45,7 +49,10 @@
             bytes.tryDispose();
         }
         try {
-            ctx.setMessage(Frame.parseFrom(body));
+            // payloads stay where they are: the fields of bytes are views of this array, which nobody writes any more
+            CodedInputStream input = UnsafeByteOperations.unsafeWrap(body).newCodedInput();
+            input.enableAliasing(true);
+            ctx.setMessage(Frame.parseFrom(input));
         } catch (InvalidProtocolBufferException bad) {
             peer.blame("a frame that cannot be read: " + bad.getMessage());
             return ctx.getStopAction();
@@ -53,13 +60,32 @@
         return ctx.getInvokeAction(rest);
     }
 
+    /** Frames that leave together, in this order. */
+    record Frames(List<Frame> each) {}
+
     @Override
-    public NextAction handleWrite(FilterChainContext ctx) {
-        if (ctx.getMessage() instanceof Frame frame) {
-            byte[] body = frame.toByteArray();
-            ByteBuffer all = ByteBuffer.allocate(PREFIX + body.length).putInt(body.length).put(body).flip();
-            ctx.setMessage(Buffers.wrap(ctx.getMemoryManager(), all));
+    public NextAction handleWrite(FilterChainContext ctx) throws IOException {
+        if (ctx.getMessage() instanceof Frames frames) {
+            ctx.setMessage(Buffers.wrap(ctx.getMemoryManager(), encode(frames.each())));
         }
         return ctx.getInvokeAction();
     }
+
+    /** One array for all, each frame written into it once. */
+    private static ByteBuffer encode(List<Frame> frames) throws IOException {
+        int size = 0;
+        for (Frame frame : frames) {
+            size += PREFIX + frame.getSerializedSize();
+        }
+        ByteBuffer all = ByteBuffer.allocate(size);
+        for (Frame frame : frames) {
+            int length = frame.getSerializedSize();
+            all.putInt(length);
+            CodedOutputStream output = CodedOutputStream.newInstance(all.array(), all.position(), length);
+            frame.writeTo(output);
+            output.checkNoSpaceLeft();
+            all.position(all.position() + length);
+        }
+        return all.flip();
+    }
 }
--- a/wire/src/main/java/milletyoke/wire/Peer.java
+++ b/wire/src/main/java/milletyoke/wire/Peer.java
@@ -4,6 +4,8 @@
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -23,6 +25,8 @@
     static final int LOWEST = 1, HIGHEST = 1;
     /** What a frame that waits costs beside its bytes: a million tiny ones are no small thing. */
     private static final int EACH = 256;
+    /** Posted frames leave at once from this size on. */
+    private static final int MOST_POSTED = 256 * 1024;
     private static final AtomicInteger NEXT = new AtomicInteger();
 
     private final int id = NEXT.incrementAndGet();
@@ -32,6 +36,9 @@
     private final Tap tap;
     private final AtomicLong waitingBytes = new AtomicLong();
     private final AtomicBoolean closed = new AtomicBoolean();
+    /** Of the one thread that posts. */
+    private List<Frame> posted = new ArrayList<>();
+    private int postedBytes;
     private volatile String name = "";
     private volatile Role role = Role.ROLE_UNKNOWN;
     private volatile boolean greeted;
@@ -86,9 +93,43 @@
 
     @Override
     public boolean send(Frame frame) {
-        if (!isOpen()) {
+        int size = admit(frame);
+        if (size == 0) {
             return false;
         }
+        write(new FrameFilter.Frames(List.of(frame)), size);
+        return true;
+    }
+
+    @Override
+    public boolean post(Frame frame) {
+        int size = admit(frame);
+        if (size > 0) {
+            posted.add(frame);
+            postedBytes += size;
+        }
+        if (postedBytes >= MOST_POSTED) {
+            flush();
+        }
+        return size > 0;
+    }
+
+    @Override
+    public void flush() {
+        if (!posted.isEmpty()) {
+            FrameFilter.Frames frames = new FrameFilter.Frames(posted);
+            int size = postedBytes;
+            posted = new ArrayList<>();
+            postedBytes = 0;
+            write(frames, size);
+        }
+    }
+
+    /** Counts a frame among what waits for the peer; 0 where it cannot be sent. */
+    private int admit(Frame frame) {
+        if (!isOpen()) {
+            return 0;
+        }
         int body = frame.getSerializedSize();
         int size = body + EACH;
         if (body > bounds.frameBytes()) {
@@ -101,13 +142,17 @@
             // stands still for long with much on its way to it; it may connect again.
             fault = "reads too slowly: over " + bounds.waitingBytes() + " bytes wait for it";
             close(fault);
-            return false;
+            return 0;
         }
         lastUse = Wire.micros();
         tap.saw(this, Direction.SENT, frame);
-        connection.write(frame, new EmptyCompletionHandler<WriteResult<Frame, SocketAddress>>() {
+        return size;
+    }
+
+    private void write(FrameFilter.Frames frames, int size) {
+        connection.write(frames, new EmptyCompletionHandler<WriteResult<FrameFilter.Frames, SocketAddress>>() {
             @Override
-            public void completed(WriteResult<Frame, SocketAddress> result) {
+            public void completed(WriteResult<FrameFilter.Frames, SocketAddress> result) {
                 waitingBytes.addAndGet(-size);
             }
 
@@ -117,7 +162,6 @@
                 close("writing failed: " + cause.getMessage());
             }
         });
-        return true;
     }
 
     @Override
