A reservation keeps its place in the orders whose tag did not change

Each access that came or left took its volume's reservation out of every order at its node and put it in again. Now only the finish tag's orders follow, and only when it changes.

--- a/core/src/main/java/milletyoke/Agenda.java
+++ b/core/src/main/java/milletyoke/Agenda.java
@@ -203,13 +203,16 @@
         return known;
     }
 
-    /** Puts an access into a queue whose reservation is not filed just now, and files that. */
+    /** Puts an access into its queue, and the reservation where its tags then have it. */
     void queue(Held h, Reservation r) {
+        if (r.weight != h.weight()) {
+            r.node.unfile(r);
+            r.weight = h.weight();
+        }
         h.queued = queued++;
         h.reservation = r;
         r.node.queue(h, r);
-        r.retag();
-        r.node.file(r);
+        r.node.refile(r);
         waiting++;
         touched.add(r.node);
     }
@@ -218,10 +221,8 @@
     void unqueue(Held h) {
         if (h.waits()) {
             Reservation r = h.reservation;
-            r.node.unfile(r);
             r.node.unqueue(h, r);
-            r.retag();
-            r.node.file(r);
+            r.node.refile(r);
             waiting--;
         }
     }
--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -328,8 +328,6 @@
     private void enqueue(Held h) {
         Node node = h.node;
         Reservation r = agenda.reservation(node, h.volume, now);
-        node.unfile(r);
-        r.weight = h.weight();
         if (r.queue.isEmpty()) {
             r.start = Math.max(node.virtualTime, r.finish);
             r.extra = node.byExtra.isEmpty() ? r.extra : Math.max(r.extra, node.byExtra.first().extra);
--- a/core/src/main/java/milletyoke/State.java
+++ b/core/src/main/java/milletyoke/State.java
@@ -383,6 +383,27 @@
             }
         }
 
+        /**
+         * After its queue or its start tag changed: files it under the finish tag it then has, or out of every order where
+         * nobody waits. What did not change keeps its place; it is to be looked at in any case.
+         */
+        void refile(Reservation r) {
+            if (!r.filed || r.queue.isEmpty()) {
+                unfile(r);
+                r.retag();
+                file(r);
+                return;
+            }
+            double finish = r.start + r.step(r.queue.first());
+            if (finish != r.finish) {
+                unready(r);
+                unowed(r);
+                r.finish = finish;
+            }
+            unparked(r);
+            look(r);
+        }
+
         /** The least weight of those that wait. */
         double lightest() {
             return weights.firstKey();
