--- a/core/src/test/java/milletyoke/DifferentialTest.java
+++ b/core/src/test/java/milletyoke/DifferentialTest.java
@@ -2,8 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.HexFormat;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import milletyoke.port.Action;
@@ -17,6 +22,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -179,6 +185,34 @@
         assertEquals(true, relays > 100, relays + " relays only");
     }
 
+    /**
+     * The same streams against digests recorded while both modules agreed, so that the reference may go. A change of the
+     * decisions that is meant changes them: then {@code -Dmilletyoke.record=FILE} writes them anew, and the commit says why.
+     */
+    @Test
+    void streamsGiveTheRecordedActions() throws Exception {
+        List<String> digests = new ArrayList<>();
+        for (int seed = 1; seed <= 24; seed++) {
+            World world = new World(seed);
+            Decide module = new Decide();
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            List<Event> events = world.start();
+            for (int step = 0; step < 4_000; step++) {
+                List<Action> told = module.decide(world.now, events);
+                digest.update(told.toString().getBytes(StandardCharsets.UTF_8));
+                world.did(told);
+                events = world.step();
+            }
+            digests.add(seed + " " + HexFormat.of().formatHex(digest.digest()));
+        }
+        String record = System.getProperty("milletyoke.record");
+        if (record != null) {
+            Files.write(Path.of(record), digests);
+        }
+        Path kept = Path.of(DifferentialTest.class.getResource("/streams.txt").toURI());
+        assertEquals(Files.readAllLines(kept), digests);
+    }
+
     /** The same with streams that shrink: what is left of one that fails is a short list of steps. */
     @Property(tries = 150, seed = "20261201", edgeCases = EdgeCasesMode.NONE, generation = GenerationMode.RANDOMIZED)
     void equalActionsOfStreamsThatShrink(@ForAll @IntRange(min = 1, max = 1 << 20) int seed,
