A volume is forgotten after its reservations; forgetting keeps up with large turns

Found on reading over. A volume object could go while a busy node still held its reservation, which is found by it: returning, it had fresh tags. Keys at rest were ordered by a time that may be made longer in place, so one key could keep others from going.

--- a/core/src/main/java/milletyoke/Agenda.java
+++ b/core/src/main/java/milletyoke/Agenda.java
@@ -196,6 +196,7 @@
             known = new Reservation(reservationsMade++, node, volume);
             known.extra = node.firstExtra;
             node.reservations.put(volume, known);
+            volume.reservations++;
             known.lookedAt = now;
             kept.addLast(known);
         }
--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -99,7 +99,7 @@
         serveNodes();
         followList();
         arrangeWake();
-        forgetting.turn(now);
+        forgetting.turn(now, happened.size());
         return todo;
     }
 
--- a/core/src/main/java/milletyoke/Forgetting.java
+++ b/core/src/main/java/milletyoke/Forgetting.java
@@ -22,7 +22,7 @@
  * in use does. Without a clock: it is told the time. Each kind goes only once its absence says the same, or less in favour
  * of whoever returns:
  * <ul>
- * <li>a volume: no access of it is held, and a store opened anew would hold no more than those it has;
+ * <li>a volume: no access of it is held, no node has a reservation of it, and a store opened anew would hold no more than those it has;
  * <li>a reservation: its queue is empty, and the virtual time is at its finish tag, or is brought there while nobody waits
  * at the node (start-time fair queueing does so at the end of each busy time); one made later starts with the highest extra
  * tag of those let go here, so nobody comes back with a lower one;
@@ -36,8 +36,11 @@
     static final long AFTER = 600_000_000;
     /** Between looks at targets and shards. */
     static final long SWEEP = AFTER / 10;
-    /** So many volumes and reservations are looked at in a turn, at most: no turn pays for what a quiet hour left. */
-    private static final int A_TURN = 8;
+    /**
+     * So many volumes and reservations are looked at in a turn, and for each event of it: no turn pays for what a quiet hour
+     * left, and what large turns bring goes as fast as it comes (an event makes two at most, and each may need two looks).
+     */
+    private static final int A_TURN = 8, AN_EVENT = 4;
 
     private final Agenda agenda;
     private final Targets targets;
@@ -47,7 +50,7 @@
     /** What stores hold now, by the plans that fill them. */
     private final ToDoubleFunction<Store> limits;
     private final ToDoubleFunction<Store> reserves;
-    private final PriorityQueue<Turns> resting = new PriorityQueue<>((a, b) -> Long.compare(a.restUntil, b.restUntil));
+    private final PriorityQueue<Turns> resting = new PriorityQueue<>((a, b) -> Long.compare(a.lookAt, b.lookAt));
     private long sweepAt;
 
     Forgetting(Agenda agenda, Targets targets, Map<String, Integer> indexOf, Map<String, Turns> turns, Collection<Held> held,
@@ -63,17 +66,33 @@
 
     /** The last access of a key left; the key may still rest. */
     void left(Turns key) {
-        resting.add(key);
+        if (key.lookAt == 0) {
+            key.lookAt = Math.max(1, key.restUntil);
+            resting.add(key);
+        }
     }
 
-    void turn(long now) {
-        while (!resting.isEmpty() && resting.peek().restUntil <= now) {
+    /**
+     * Guards the order of looks against a rest that is made longer meanwhile: its key would stand before others for as long
+     * as it keeps timing out, and none of them would go. So the time of a look stays as it was set, and is set anew then.
+     */
+    private void lookAtKeys(long now) {
+        while (!resting.isEmpty() && resting.peek().lookAt <= now) {
             Turns key = resting.poll();
-            if (key.order.isEmpty()) {
+            key.lookAt = 0;
+            if (key.order.isEmpty() && key.restUntil <= now) {
                 turns.remove(key.extent, key);
+            } else if (key.order.isEmpty()) {
+                left(key);
             }
         }
-        for (int i = 0; i < A_TURN && !agenda.kept.isEmpty() && agenda.kept.peekFirst().lookAt(AFTER) <= now; i++) {
+    }
+
+    /** @param events of this turn */
+    void turn(long now, int events) {
+        lookAtKeys(now);
+        int looks = A_TURN + AN_EVENT * events;
+        for (int i = 0; i < looks && !agenda.kept.isEmpty() && agenda.kept.peekFirst().lookAt(AFTER) <= now; i++) {
             Kept oldest = agenda.kept.pollFirst();
             boolean gone = oldest.usedAt + AFTER <= now
                     && (oldest instanceof Volume v ? forgets(v) : forgets((Reservation) oldest));
@@ -91,7 +110,7 @@
     private boolean forgets(Volume v) {
         boolean gains = v.limit != null && holdsLess(limits, v.limit, agenda.opened(v.limit))
                 || v.reserve != null && holdsLess(reserves, v.reserve, new Store(v.reserve));
-        boolean gone = v.held == 0 && !gains;
+        boolean gone = v.held == 0 && v.reservations == 0 && !gains;
         if (gone) {
             agenda.forget(v);
         }
@@ -112,6 +131,7 @@
         node.virtualTime = Math.max(node.virtualTime, r.finish);
         node.firstExtra = Math.max(node.firstExtra, r.extra);
         node.reservations.remove(r.volume);
+        r.volume.reservations--;
         return true;
     }
 
--- a/core/src/main/java/milletyoke/State.java
+++ b/core/src/main/java/milletyoke/State.java
@@ -292,8 +292,9 @@
 
     /** What is kept of one volume, whichever nodes it goes to. */
     static final class Volume extends Kept {
-        /** Accesses held. */
+        /** Accesses held, and reservations at nodes: these are found by it, so it goes after them. */
         int held;
+        int reservations;
         final String name;
         /** Its stores, null before they are first used. */
         Store limit;
@@ -635,6 +636,8 @@
         final TreeSet<Held> order = new TreeSet<>(Held.BY_TAKING);
         final String extent;
         long restUntil;
+        /** When who forgets looks at it next; 0 where it does not. */
+        long lookAt;
 
         Turns(String extent) {
             this.extent = extent;
--- a/core/src/test/java/milletyoke/ForgettingTest.java
+++ b/core/src/test/java/milletyoke/ForgettingTest.java
@@ -220,6 +220,84 @@
         assertTrue(joined && forgotten > 1_000, forgotten + " forgotten");
     }
 
+    /** Guards tags: a volume found by no reservation of its own any more would return with fresh ones at a busy node. */
+    @Test
+    void atANodeThatIsNeverQuietTagsAheadStay() {
+        Agenda agenda = new Agenda();
+        Forgetting forgetting = new Forgetting(agenda, new State.Targets(), new HashMap<>(), new HashMap<>(), List.of(),
+                s -> 0, s -> 0);
+        State.Node node = agenda.node(0);
+        Event.Access access = new Event.Access("a", 0, null, "ahead", 1_000, "free", "read", 1, 1);
+        State.Volume ahead = agenda.volume(access, 0);
+        State.Reservation tags = agenda.reservation(node, ahead, 0);
+        tags.finish = 100;
+        ahead.held--;
+        Category read = new Category("read", Repeats.HARMLESS, Group.ALL, 0, false, 300_000, 2);
+        Event.Access other = new Event.Access("b", 0, null, "waits", 1_000, "free", "read", 1, 1);
+        State.Held waits = new State.Held(other, 0, read, agenda.volume(other, 0), null);
+        waits.node = node;
+        agenda.queue(waits, agenda.reservation(node, waits.volume, 0));
+        for (long now = 0; now < 5 * Forgetting.AFTER; now += MINUTE) {
+            forgetting.turn(now, 1);
+            assertEquals(ahead, agenda.volume("ahead"));
+            assertEquals(tags, node.reservations.get(agenda.volume("ahead")));
+        }
+        agenda.unqueue(waits);
+        for (long now = 5 * Forgetting.AFTER; now < 8 * Forgetting.AFTER; now += MINUTE) {
+            forgetting.turn(now, 1);
+        }
+        assertEquals(null, agenda.volume("ahead"), "nobody waits any more");
+        assertTrue(node.virtualTime >= 100);
+    }
+
+    /** Guards memory: a key whose rest is made longer again and again must not keep others' from going. */
+    @Test
+    void aKeyThatKeepsTimingOutHoldsNoOthersBack() {
+        Map<String, State.Turns> turns = new HashMap<>();
+        Forgetting forgetting = new Forgetting(new Agenda(), new State.Targets(), new HashMap<>(), turns, List.of(),
+                s -> 0, s -> 0);
+        State.Turns stuck = new State.Turns("stuck");
+        turns.put("stuck", stuck);
+        stuck.restUntil = 10;
+        forgetting.left(stuck);
+        for (int k = 0; k < 50; k++) {
+            State.Turns key = new State.Turns("k" + k);
+            key.restUntil = 20 + k;
+            turns.put(key.extent, key);
+            forgetting.left(key);
+        }
+        stuck.restUntil = 1_000_000;
+        forgetting.turn(100, 0);
+        assertEquals(1, turns.size(), "those whose rest is over are gone");
+        forgetting.turn(1_000_000, 0);
+        assertEquals(0, turns.size());
+    }
+
+    /** Guards memory: large turns bring more than eight new volumes each. */
+    @Test
+    void whatLargeTurnsBringGoesAsFastAsItComes() {
+        Service service = new Service(new Plan("capped", 0, 1, 50, 50, 5), 1, 100);
+        int most = 0;
+        for (int turn = 0; turn < 400; turn++) {
+            List<Event> batch = new ArrayList<>();
+            for (int i = 0; i < 100; i++) {
+                batch.add(new Event.Access("b" + turn + "-" + i, 0, null, "n" + turn + "-" + i, 1_000_000, "free", "read", 1, 1));
+                service.sent.put("b" + turn + "-" + i, (Event.Access) batch.get(i));
+            }
+            service.tell(batch.toArray(new Event[0]));
+            for (int round = 0; round < 20; round++) { // what was relayed ends in large turns too
+                service.now += 5_000;
+                Event[] ends = service.out.stream().map(id -> new Event.Ended(id, 0, true, Outcome.SUCCEEDED, 5_000))
+                        .toArray(Event[]::new);
+                service.out.clear();
+                service.tell(ends);
+            }
+            service.now += MINUTE;
+            most = Math.max(most, service.kept());
+        }
+        assertTrue(most < 10_000, most + " kept of 80,000; twenty minutes bring 8,000");
+    }
+
     @Test
     void aTargetThatLeftGoesAndItsPlaceIsUsedAgain() {
         Service service = new Service(new Plan("capped", 0, 1, 50, 50, 5), 3);
