New objects are drawn by lots where there are many nodes; a call's cost no longer grows with them

Need: the draw of a new object's target went twice over all nodes, the last part of a call that grew with their number. Change: over more than 64 nodes a lot falls on a node with equal odds and is kept with odds of its room over the window's ceiling; after 64 lots in vain the walk decides as before. DrawTest: a target with a quarter of the room gets a fifth of the draws of its like, by walk and by lots.

--- a/benchmarks/src/main/java/milletyoke/benchmarks/Steady.java
+++ b/benchmarks/src/main/java/milletyoke/benchmarks/Steady.java
@@ -21,6 +21,8 @@
     private final ArrayDeque<String> out = new ArrayDeque<>();
     private long now = 1_000_000_000L;
     private long next;
+    /** Every so many-th access is a new object; 0 for none. */
+    int newEvery;
 
     Steady(BiFunction<Long, List<Event>, List<Action>> module, int held, int volumes, int targets) {
         this.module = module;
@@ -60,7 +62,7 @@
         next++;
         // volumes and targets are drawn over all of them, out of step with each other
         int volume = (int) (number * 2_654_435_761L >>> 7 & Integer.MAX_VALUE) % volumes;
-        return new Event.Access("s" + number, (int) (number % targets), null, "v" + volume, 700_000_000L, "free", category, 1, 1);
+        return new Event.Access("s" + number, newEvery > 0 && number % newEvery == 0 ? -1 : (int) (number % targets), null, "v" + volume, 700_000_000L, "free", category, 1, 1);
     }
 
     private Event ended() {
--- a/benchmarks/src/main/java/milletyoke/benchmarks/Turn.java
+++ b/benchmarks/src/main/java/milletyoke/benchmarks/Turn.java
@@ -18,11 +18,15 @@
     public int volumes;
     @Param({"10", "100", "1000"})
     public int targets;
+    /** Every so many-th access is a new object; 0 for none. */
+    @Param({"0"})
+    public int newEvery;
     private Steady steady;
 
     @Setup(Level.Trial)
     public void fill() {
         steady = new Steady(new Decide()::decide, held, volumes, targets);
+        steady.newEvery = newEvery;
     }
 
     @Benchmark
--- a/core/src/main/java/milletyoke/Agenda.java
+++ b/core/src/main/java/milletyoke/Agenda.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeSet;
 import milletyoke.State.Held;
 import milletyoke.State.Kept;
@@ -47,6 +48,16 @@
         return nodes.values();
     }
 
+    /** Slots that a lot is drawn over. */
+    int places() {
+        return slots.size();
+    }
+
+    /** One node, all with equal odds; null where the lot fell on a slot whose node was forgotten. */
+    Node lot(SplittableRandom chance) {
+        return slots.get(chance.nextInt(slots.size()));
+    }
+
     Map<Integer, Node> byShard() {
         return nodes;
     }
--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -30,7 +30,7 @@
     private static final double JOIN_OWED = 0.75, JOIN_OTHERS = 0.25;
     private static final double LEAST_FURTHER = 0.1;
     /** Trials and rests grow up to this many of the shortest agreed time; no lag outlives it unheard. */
-    private static final long LONGEST_TRIAL = 4;
+    private static final long LONGEST_TRIAL = 4, MANY = 64;
     /** Times between looks at what waits, and at what is only out (microseconds). */
     private static final long LOOK_WAITING = 4_000, LOOK_IDLE = 40_000;
     /** A final answer leaves this long before the client's time is up. */
@@ -309,6 +309,12 @@
 
     /** A new object goes to a target drawn at random, odds in step with the room each is thought to have. */
     private Node draw() {
+        for (long lot = 0; agenda.places() > MANY && lot < MANY; lot++) { // same odds, not over all
+            Node n = agenda.lot(chance);
+            if (n != null && chance.nextDouble() * WINDOW_CEILING < room(n)) {
+                return n;
+            }
+        }
         double left = chance.nextDouble() * agenda.nodes().stream().mapToDouble(this::room).sum();
         Node drawn = null;
         for (Node n : agenda.nodes()) {
--- /dev/null
+++ b/core/src/test/java/milletyoke/DrawTest.java
@@ -0,0 +1,74 @@
+package milletyoke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import milletyoke.port.Action;
+import milletyoke.port.Event;
+import milletyoke.port.Outcome;
+import milletyoke.port.Provisioning;
+import milletyoke.port.Provisioning.Allowances;
+import milletyoke.port.Provisioning.Bounds;
+import milletyoke.port.Provisioning.Category;
+import milletyoke.port.Provisioning.Group;
+import milletyoke.port.Provisioning.Plan;
+import milletyoke.port.Provisioning.Repeats;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Where a new object goes: odds in step with room, by the walk over few nodes and by lots over many alike. */
+class DrawTest {
+    private final Decide module = new Decide();
+
+    private List<Action> tell(Event... events) {
+        return module.decide(1_000_000, // no time passes: nothing becomes late or silent
+                 List.of(events));
+    }
+
+    private Map<String, Integer> drawn(int targets, int draws) {
+        Provisioning given = new Provisioning(1,
+                List.of(new Category("w", Repeats.HARMLESS, Group.ALL, 0, false, 400_000, 1)),
+                List.of(new Plan("p", 0, 1, 0, 0, 0)), new Allowances(3, false, false, true, 500_000),
+                new Bounds(0, 0, 1, 0, 0, 1, 0, 0, 0, 10_000_000), false);
+        List<Event.Target> list = new ArrayList<>();
+        for (int t = 0; t < targets; t++) {
+            list.add(new Event.Target(t, "t" + t, "z", Event.Health.ON, 0));
+        }
+        tell(new Event.Start(7, given), new Event.TargetList(Event.Scope.REPLACE, list));
+        // the first half holds three accesses each, so a window of four has a quarter of the room that it has elsewhere
+        for (int n = 0; n < targets / 2 * 3; n++) {
+            tell(new Event.Access("held" + n, n % (targets / 2), null, "v", 60_000_000, "p", "w", 1, 1));
+        }
+        Map<String, Integer> to = new HashMap<>();
+        for (int n = 0; n < draws; n++) {
+            for (Action a : tell(new Event.Access("new" + n, -1, null, "v", 60_000_000, "p", "w", 1, 1))) {
+                if (a instanceof Action.Relay r && r.id().equals("new" + n)) {
+                    to.merge(r.target(), 1, Integer::sum);
+                    // not taken by it, so that windows and lags stay as they were
+                    tell(new Event.Ended(r.id(), 0, true, Outcome.CANCELLED, 0));
+                }
+            }
+        }
+        return to;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {60, 80, 2000})
+    void oddsFollowRoom(int targets) {
+        int draws = 20_000;
+        Map<String, Integer> to = drawn(targets, draws);
+        int all = to.values().stream().mapToInt(i -> i).sum();
+        int toBusy = 0;
+        for (int t = 0; t < targets / 2; t++) {
+            toBusy += to.getOrDefault("t" + t, 0);
+        }
+        assertEquals(draws, all, "every new object went out at once");
+        // a fifth: rooms of 1 and 4; five standard deviations of a binomial are 1.4 in a hundred
+        assertEquals(0.2, toBusy / (double) all, 0.015, toBusy + " of " + all);
+        assertTrue(to.size() > targets * 0.95 || targets > 1000, "nobody is left out");
+    }
+}
