Volumes that peers may name are bounded at the door

Need: state behind the door outlives a volume's last use by ten to twenty minutes, and nothing bounded how many volumes a peer could make up in that time. Change: admission.Names lets in a new name only while 262,144 are in use, or once the one longest unused has been so for twenty minutes; others are told that there is no place. Names in use are never turned away.

--- a/gateway/src/main/java/milletyoke/gateway/ingress/Gate.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Gate.java
@@ -1,6 +1,7 @@
 package milletyoke.gateway.ingress;
 
 import milletyoke.admission.Admission;
+import milletyoke.admission.Names;
 import milletyoke.wire.Line;
 import milletyoke.wire.proto.Access;
 
@@ -9,12 +10,22 @@
  * for a few look-ups. An answer at once needs no turn of the loop, which may be the very thing that is behind.
  */
 public final class Gate {
+    /** A volume's state behind the door goes ten to twenty minutes after its last use (microseconds). */
+    private static final long KEPT = 1_200_000_000L;
+    private static final int MOST_VOLUMES = 1 << 18;
+
     private final Admission admission;
+    private final Names volumes = new Names(MOST_VOLUMES, KEPT);
 
     public Gate(Admission.Room room) {
         admission = new Admission(room);
     }
 
+    /** Whether the volume may be named: it is in use, or there is room for one more. */
+    public synchronized boolean knows(Access access, long now) {
+        return volumes.use(access.getVolume(), now);
+    }
+
     public synchronized Admission.Verdict ask(Line client, Access access) {
         return admission.ask(client.id(), access.getVolume(), access.getPayload().size());
     }
--- a/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
@@ -129,6 +129,10 @@
     }
 
     private void admit(Peer peer, Access a) {
+        if (!gate.knows(a, Wire.micros())) {
+            reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, 0);
+            return;
+        }
         Admission.Verdict verdict = gate.ask(peer, a);
         if (!verdict.admitted()) {
             boolean mayAdvise = setup.deployment().provisioning().allowances().advice();
--- /dev/null
+++ b/lifecycle/src/main/java/milletyoke/admission/Names.java
@@ -0,0 +1,52 @@
+package milletyoke.admission;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+
+/**
+ * Decides whether an access may bring a name that is not in use. A name costs memory behind the door for some time after
+ * its last use, whoever made it up, so the names in use are bounded: a new one gets in only while there is room, or once
+ * the one longest unused has been so for {@code kept}. Guards the memory of a daemon against peers that never use a name
+ * twice. Could harm a deployment of more volumes than the bound, which must be set over them. Knows no clock; one owner at
+ * a time may call it.
+ */
+public final class Names {
+    private final int most;
+    private final long kept;
+    /** When each was last used, those longest unused first. */
+    private final LinkedHashMap<String, Long> lastUse = new LinkedHashMap<>(16, 0.75f, true);
+
+    /**
+     * @param most names in use at once
+     * @param kept microseconds for which something is remembered of a name after its last use
+     */
+    public Names(int most, long kept) {
+        if (most < 1 || kept < 0) {
+            throw new IllegalArgumentException("at least one name, kept for 0 or more, is expected, not " + most + ", " + kept);
+        }
+        this.most = most;
+        this.kept = kept;
+    }
+
+    /** Uses a name; false where it is new and there is no room for it. @param now microseconds, never going back */
+    public boolean use(String name, long now) {
+        if (!lastUse.containsKey(name) && lastUse.size() >= most && !dropped(now)) {
+            return false;
+        }
+        lastUse.put(name, now);
+        return true;
+    }
+
+    private boolean dropped(long now) {
+        Iterator<Long> longest = lastUse.values().iterator();
+        if (now - longest.next() < kept) {
+            return false;
+        }
+        longest.remove();
+        return true;
+    }
+
+    public int inUse() {
+        return lastUse.size();
+    }
+}
