--- a/cli/src/main/java/milletyoke/cli/Rehearse.java
+++ b/cli/src/main/java/milletyoke/cli/Rehearse.java
@@ -90,7 +90,7 @@
                 + HexFormat.of().formatHex(Tokens.hash(token)) + "\"}]}");
         try (Stage stage = new Stage(day, recording, false, tokens);
                 Onlookers onlookers = new Onlookers(stage.initiator(0).consolePort(), token, viewers, 200)) {
-            Stage.Played played = stage.play(line -> { }, () -> {
+            Stage.Played played = stage.play(service -> { }, () -> {
                 System.out.println("console: " + onlookers.text());
                 onlookers.close();
             });
--- a/cli/src/main/java/milletyoke/cli/RunInitiator.java
+++ b/cli/src/main/java/milletyoke/cli/RunInitiator.java
@@ -27,7 +27,7 @@
     @Override
     public Integer call() throws Exception {
         Setup setup = Setup.read(config);
-        Recorder recorder = record == null ? null : new Recorder(record);
+        Recorder recorder = record == null ? null : new Recorder(record, milletyoke.wire.Wire::micros);
         if (recorder != null) {
             recorder.note(setup.name(), Note.Kind.UP, "initiator", 0);
         }
--- a/gateway/src/main/java/milletyoke/gateway/Initiator.java
+++ b/gateway/src/main/java/milletyoke/gateway/Initiator.java
@@ -1,10 +1,10 @@
 package milletyoke.gateway;
 
 import java.io.IOException;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import milletyoke.admission.Admission;
 import milletyoke.config.Fleet;
 import milletyoke.gateway.console.Console;
@@ -21,13 +21,16 @@
 import milletyoke.gateway.setup.FromFleet;
 import milletyoke.gateway.setup.Setup;
 import milletyoke.gateway.setup.SetupError;
+import milletyoke.port.Decisions;
 import milletyoke.wire.BadFrame;
 import milletyoke.wire.Bounds;
 import milletyoke.wire.Line;
+import milletyoke.wire.Net;
 import milletyoke.wire.Peer;
 import milletyoke.wire.PeerHandler;
+import milletyoke.wire.Sockets;
 import milletyoke.wire.Tap;
-import milletyoke.wire.Wire;
+import milletyoke.wire.World;
 import milletyoke.wire.proto.Access;
 import milletyoke.wire.proto.Frame;
 import milletyoke.wire.proto.Role;
@@ -45,41 +48,38 @@
     private final Setup setup;
     private final Counts counts = new Counts();
     private final Gate gate;
-    private final Wire wire;
+    private final World world;
+    private final Net wire;
     private final Loop loop;
     private final Faults faults;
     private final Ingress ingress;
-    private final Wire.Listener listener;
+    private final Net.Listener listener;
     private final LastList lastList;
-    private final Subscription subscription;
+    private Subscription subscription;
     private final ScheduledExecutorService side;
     private final Bounds toTargets;
     private final Following following;
     private Console console;
 
-    private Initiator(Setup setup, Tap tap) throws IOException {
+    private Initiator(Setup setup, Tap tap, World world, Supplier<Decisions> instead) throws IOException {
         this.setup = setup;
+        this.world = world;
         Setup.Room r = setup.room();
         gate = new Gate(new Admission.Room(r.held(), r.bytes(), r.connectionPart(), r.greed(),
                 setup.deployment().provisioning().allowances().longestAdvice()));
-        lastList = setup.folder() == null ? null : new LastList(setup.folder());
+        lastList = setup.folder() == null ? null : new LastList(setup.folder(), !world.isVirtual());
         Setup.Transport t = setup.transport();
         toTargets = new Bounds(t.frameBytes(), t.waitingBytes(), t.partialTime(), 0);
-        wire = new Wire(setup.name(), t.threads(), tap);
-        side = Executors.newSingleThreadScheduledExecutor(task -> {
-            Thread thread = new Thread(task, setup.name() + "-side");
-            thread.setDaemon(true);
-            return thread;
-        });
-        loop = new Loop(setup, this, Wire::micros, counts);
-        faults = new Faults(counts, Wire::micros);
-        ingress = new Ingress(setup, loop, counts, gate, faults);
+        wire = world.net(setup.name(), t.threads(), tap);
+        side = world.clockwork(setup.name() + "-side", 1);
+        loop = new Loop(setup, this, world, counts, instead);
+        faults = new Faults(counts, world::micros);
+        ingress = new Ingress(setup, world, loop, counts, gate, faults);
         following = setup.fleet() == null ? null : new Following(setup.fleet().file(), setup.folder(),
                 setup.fleet().fleet(), setup.fleet().files(), this::follow);
         if (setup.fleet() != null) {
             ingress.configure(setup.fleet().fleet());
         }
-        subscription = new Subscription(setup, wire, loop, side, seed());
         try {
             listener = wire.listen(setup.listen().host(), setup.listen().port(), Role.INITIATOR, ingress,
                     new Bounds(t.frameBytes(), t.waitingBytes(), t.partialTime(), 0));
@@ -97,9 +97,20 @@
      * @throws SetupError where the console's tokens cannot be used; nothing is left running
      */
     public static Initiator start(Setup setup, Tap tap) throws IOException, SetupError {
-        Initiator made = new Initiator(setup, tap);
+        return start(setup, tap, new Sockets(), ThreadLocalRandom.current().nextLong(), null);
+    }
+
+    /**
+     * Starts one in a world.
+     *
+     * @param seed of all its chance: of the decisions, and of waits before it connects again
+     * @param instead of the product's decisions, in a lab; null in service
+     */
+    public static Initiator start(Setup setup, Tap tap, World world, long seed, Supplier<Decisions> instead) throws IOException, SetupError {
+        Initiator made = new Initiator(setup, tap, world, instead);
         TargetList restored = made.lastList == null ? null : made.lastList.load();
-        made.loop.start(seed(), restored);
+        made.loop.start(seed, restored);
+        made.subscription = new Subscription(setup, made.wire, made.loop, made.side, ~seed);
         if (setup.console() != null) {
             try {
                 made.console = new Console(setup.console(), setup, made.loop, made.counts, made.following);
@@ -123,10 +134,6 @@
         loop.tell(new Told.Do(() -> ingress.configure(fleet)));
     }
 
-    private static long seed() {
-        return ThreadLocalRandom.current().nextLong();
-    }
-
     public String name() {
         return setup.name();
     }
@@ -155,11 +162,39 @@
      * @return whether all was answered
      */
     public boolean leave(long millis) throws InterruptedException {
+        beginLeaving();
+        boolean clean = loop.awaitEnd(millis);
+        ingress.awaitGoodbyes(LONGEST_GOODBYE);
+        return end(clean);
+    }
+
+    private void beginLeaving() {
         ingress.leave();
         listener.stop();
         loop.tell(new Told.Leave());
-        boolean clean = loop.awaitEnd(millis);
-        ingress.awaitGoodbyes(LONGEST_GOODBYE);
+    }
+
+    /**
+     * As {@link #leave}, for those who cannot wait: looks every few milliseconds whether all is answered.
+     *
+     * @param then is run when it has ended
+     */
+    public void leaveLater(long millis, Runnable then) {
+        beginLeaving();
+        look(world.micros() + millis * 1000, then);
+    }
+
+    private void look(long until, Runnable then) {
+        boolean wait = world.micros() < until && (!loop.hasEnded() || ingress.owesGoodbyes());
+        if (wait) {
+            side.schedule(() -> look(until, then), 5, TimeUnit.MILLISECONDS);
+        } else {
+            end(loop.hasEnded());
+            then.run();
+        }
+    }
+
+    private boolean end(boolean clean) {
         loop.kill();
         subscription.stop();
         if (console != null) {
@@ -184,20 +219,14 @@
 
     /** Holds the loop, as a long pause of this process would hold it; for rehearsals. */
     public void standStill(long millis, Runnable afterwards) {
-        loop.tell(new Told.Do(() -> {
-            long until = Wire.micros() + millis * 1000;
-            while (Wire.micros() < until) {
-                java.util.concurrent.locks.LockSupport.parkNanos(1_000_000);
-            }
-            afterwards.run();
-        }));
+        loop.standStill(millis * 1000, afterwards);
     }
 
     // ---- What the loop needs ----
 
     @Override
     public Dial dial(String target, Address address, long dial) {
-        Wire.Attempt attempt = wire.connect(address.host(), address.port(), Role.INITIATOR,
+        Net.Attempt attempt = wire.connect(address.host(), address.port(), Role.INITIATOR,
                 new LinkHandler(target, dial), toTargets,
                 why -> loop.tell(new Told.DialFailed(target, dial, why)));
         return attempt::giveUp;
--- a/gateway/src/main/java/milletyoke/gateway/discovery/LastList.java
+++ b/gateway/src/main/java/milletyoke/gateway/discovery/LastList.java
@@ -24,9 +24,16 @@
     private static final int PREFIX = Long.BYTES;
 
     private final Path file;
+    private final boolean forced;
     private final AtomicReference<TargetList> newest = new AtomicReference<>();
 
     public LastList(Path folder) throws IOException {
+        this(folder, true);
+    }
+
+    /** @param forced false where no power can fail, as in a lab: what is written is not forced to the disk */
+    public LastList(Path folder, boolean forced) throws IOException {
+        this.forced = forced;
         Files.createDirectories(folder);
         file = folder.resolve("targets.list");
     }
@@ -80,7 +87,9 @@
             while (left.hasRemaining()) {
                 out.write(left);
             }
-            out.force(true);
+            if (forced) {
+                out.force(true);
+            }
             Files.move(aside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         } catch (IOException failed) {
             LOG.warn("the list could not be kept in {}: {}", file, failed.getMessage());
--- a/gateway/src/main/java/milletyoke/gateway/discovery/Subscription.java
+++ b/gateway/src/main/java/milletyoke/gateway/discovery/Subscription.java
@@ -8,9 +8,9 @@
 import milletyoke.gateway.setup.Setup;
 import milletyoke.wire.BadFrame;
 import milletyoke.wire.Bounds;
+import milletyoke.wire.Net;
 import milletyoke.wire.Peer;
 import milletyoke.wire.PeerHandler;
-import milletyoke.wire.Wire;
 import milletyoke.wire.proto.Follow;
 import milletyoke.wire.proto.Frame;
 import milletyoke.wire.proto.Role;
@@ -28,7 +28,7 @@
     private static final long FIRST_WAIT = 50, LONGEST_WAIT = 2_000;
 
     private final Setup setup;
-    private final Wire wire;
+    private final Net wire;
     private final Loop loop;
     private final ScheduledExecutorService side;
     private final SplittableRandom chance;
@@ -37,7 +37,7 @@
     private long wait = FIRST_WAIT;
     private boolean stopped;
 
-    public Subscription(Setup setup, Wire wire, Loop loop, ScheduledExecutorService side, long seed) {
+    public Subscription(Setup setup, Net wire, Loop loop, ScheduledExecutorService side, long seed) {
         this.setup = setup;
         this.wire = wire;
         this.loop = loop;
--- a/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
@@ -2,7 +2,6 @@
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import milletyoke.admission.Admission;
 import milletyoke.config.Fleet;
@@ -17,7 +16,7 @@
 import milletyoke.wire.Line;
 import milletyoke.wire.Peer;
 import milletyoke.wire.PeerHandler;
-import milletyoke.wire.Wire;
+import milletyoke.wire.World;
 import milletyoke.wire.proto.Access;
 import milletyoke.wire.proto.Answer;
 import milletyoke.wire.proto.Final;
@@ -35,6 +34,7 @@
     private static final int LONGEST_NAME = 512, MOST_HOSTS = 100_000;
 
     private final Setup setup;
+    private final World world;
     private final Loop loop;
     private final Counts counts;
     private volatile Set<String> categories;
@@ -45,9 +45,10 @@
     private volatile Fleet fleet;
     private final Set<Peer> clients = ConcurrentHashMap.newKeySet();
 
-    public Ingress(Setup setup, Loop loop, Counts counts, Gate gate, Faults faults) {
+    public Ingress(Setup setup, World world, Loop loop, Counts counts, Gate gate, Faults faults) {
         this.faults = faults;
         this.setup = setup;
+        this.world = world;
         this.loop = loop;
         this.counts = counts;
         this.gate = gate;
@@ -85,12 +86,17 @@
      * answers with it that are still on their way. Could hold up the end by {@code millis} where a client does not close.
      */
     public void awaitGoodbyes(long millis) {
-        long until = Wire.micros() + millis * 1000;
-        while (clients.stream().anyMatch(c -> c.isOpen() && c.knowsGoingAway()) && Wire.micros() < until) {
-            LockSupport.parkNanos(1_000_000);
+        long until = world.micros() + millis * 1000;
+        while (owesGoodbyes() && world.micros() < until) {
+            world.sleep(1_000);
         }
     }
 
+    /** Whether a client that was asked to close has not. */
+    public boolean owesGoodbyes() {
+        return clients.stream().anyMatch(c -> c.isOpen() && c.knowsGoingAway());
+    }
+
     @Override
     public void ready(Peer peer) {
         LOG.debug("client {} is here", peer);
@@ -129,7 +135,7 @@
     }
 
     private void admit(Peer peer, Access a) {
-        if (!gate.knows(a, Wire.micros())) {
+        if (!gate.knows(a, world.micros())) {
             reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, 0);
             return;
         }
@@ -137,7 +143,7 @@
         if (!verdict.admitted()) {
             boolean mayAdvise = setup.deployment().provisioning().allowances().advice();
             reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, mayAdvise ? verdict.retryIn() : 0);
-        } else if (!loop.offer(new Told.Taken(peer, a, Wire.micros()))) {
+        } else if (!loop.offer(new Told.Taken(peer, a, world.micros()))) {
             gate.release(peer, a, 0);
             reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, 0);
         }
--- a/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import milletyoke.Decide;
 import milletyoke.gateway.link.Dialler;
 import milletyoke.gateway.link.Links;
@@ -20,8 +21,10 @@
 import milletyoke.lifecycle.Fact;
 import milletyoke.lifecycle.Lifecycle;
 import milletyoke.port.Action;
+import milletyoke.port.Decisions;
 import milletyoke.port.Event;
 import milletyoke.wire.Line;
+import milletyoke.wire.World;
 import milletyoke.wire.proto.Access;
 import milletyoke.wire.proto.Answer;
 import milletyoke.wire.proto.Final;
@@ -70,11 +73,15 @@
 
     private final Setup setup;
     private final Surroundings around;
+    private final World world;
     private final LongSupplier clock;
+    /** Runs the turns where there is no thread; null in service. */
+    private final World.Drive drive;
     private final Counts counts;
     private final MpscArrayQueue<Told> queue;
     private final int roomForAccesses;
     private final Decide decide = new Decide();
+    private final Decisions decisions;
     private final Lifecycle lifecycle;
     private final Accounts accounts;
     private final Painter painter;
@@ -105,12 +112,21 @@
     private long paintSince;
     private double paintCosts;
     private long turnAt;
+    /** Until when this loop stands still, and what is told then; 0 where it does not. */
+    private long stillUntil;
+    private Runnable afterStill;
 
-    /** @param clock microseconds, never going back */
-    public Loop(Setup setup, Surroundings around, LongSupplier clock, Counts counts) {
+    /**
+     * @param world whose clock it goes by, and who may run its turns
+     * @param instead of {@link Decide}, in a lab; null in service
+     */
+    public Loop(Setup setup, Surroundings around, World world, Counts counts, Supplier<Decisions> instead) {
+        decisions = instead == null ? decide::decide : instead.get();
+        this.world = world;
+        clock = world::micros;
+        drive = world.drive(this::advance);
         this.setup = setup;
         this.around = around;
-        this.clock = clock;
         this.counts = counts;
         queue = new MpscArrayQueue<>(setup.room().queue());
         roomForAccesses = queue.capacity() - queue.capacity() / 4;
@@ -133,8 +149,7 @@
             }
         });
         ledger.connect(new Outlets());
-        thread = new Thread(this::run, setup.name() + "-loop");
-        thread.setDaemon(true);
+        thread = drive == null ? new Thread(this::run, setup.name() + "-loop") : null;
     }
 
     /** What is decided, on its way out. */
@@ -178,7 +193,12 @@
             fact(new Fact.Listed(roster.usable(), true));
         }
         paint(clock.getAsLong());
-        thread.start();
+        if (drive == null) {
+            thread.setDaemon(true);
+            thread.start();
+        } else {
+            drive.wakeUp();
+        }
     }
 
     // ---- Other threads ----
@@ -218,8 +238,9 @@
      * peer is held back by its connection; the last quarter is kept free of accesses for this.
      */
     public void tell(Told told) {
-        if (Thread.currentThread() == thread) {
+        if (drive != null || Thread.currentThread() == thread) {
             own.add(told); // the loop cannot wait for itself
+            wakeUp();
             return;
         }
         while (!queue.offer(told)) {
@@ -233,7 +254,9 @@
     }
 
     private void wakeUp() {
-        if (parked) {
+        if (drive != null) {
+            drive.wakeUp();
+        } else if (parked) {
             LockSupport.unpark(thread);
         }
     }
@@ -246,9 +269,27 @@
 
     /** Waits for the loop's end. */
     public boolean awaitEnd(long millis) throws InterruptedException {
+        for (long until = clock.getAsLong() + millis * 1000; drive != null && !hasEnded(); ) {
+            if (clock.getAsLong() >= until) {
+                return false;
+            }
+            world.sleep(1_000);
+        }
         return ended.await(millis, TimeUnit.MILLISECONDS);
     }
 
+    public boolean hasEnded() {
+        return ended.getCount() == 0;
+    }
+
+    /** Holds the loop, as a long pause of this process would. @param micros how long */
+    public void standStill(long micros, Runnable afterwards) {
+        tell(new Told.Do(() -> {
+            stillUntil = clock.getAsLong() + micros;
+            afterStill = afterwards;
+        }));
+    }
+
     /** What ended the loop though nobody asked for it; null where nothing did. */
     public Throwable fault() {
         return fault;
@@ -258,25 +299,71 @@
 
     private void run() {
         try {
-            while (!killed && !(leaving && ledger.unanswered() == 0 && !ledger.hasEvents())) {
-                turn();
+            while (!isOver()) {
+                if (turn()) {
+                    sleep(clock.getAsLong());
+                }
             }
         } catch (RuntimeException | Error thrown) {
-            fault = thrown;
-            LOG.error("the loop failed; everything held is broken off", thrown);
-            ledger.breakOffAll();
-            outbox.flush();
+            failed(thrown);
         } finally {
-            ended.countDown();
-            turnAway();
+            end();
+        }
+    }
+
+    /** As {@link #run}, for a drive: goes on until there is nothing to do now. */
+    private long advance() {
+        if (hasEnded() || killed) {
+            return Long.MAX_VALUE;
+        }
+        try {
+            boolean idle = false;
+            while (!isOver() && !idle) {
+                idle = turn();
+            }
+            if (!isOver()) {
+                return Math.max(clock.getAsLong() + 1, nextDue(clock.getAsLong()));
+            }
+        } catch (RuntimeException | Error thrown) {
+            failed(thrown);
         }
+        end();
+        return Long.MAX_VALUE;
+    }
+
+    private boolean isOver() {
+        return killed || leaving && ledger.unanswered() == 0 && !ledger.hasEvents();
+    }
+
+    private void failed(Throwable thrown) {
+        fault = thrown;
+        LOG.error("the loop failed; everything held is broken off", thrown);
+        ledger.breakOffAll();
+        outbox.flush();
+    }
+
+    private void end() {
+        ended.countDown();
+        turnAway();
     }
 
-    private void turn() {
+    /** One turn; true where there is nothing more to do before something happens or comes due. */
+    private boolean turn() {
+        if (stillUntil > 0) {
+            if (clock.getAsLong() < stillUntil) {
+                return true;
+            }
+            stillUntil = 0;
+            afterStill.run();
+        }
         int took = 0;
-        for (Told told = next(); told != null && took < MOST_A_TURN; told = next()) {
+        // Guards what lies beyond one turn's part: a loop that took the next one before it looked at the count dropped it,
+        // so that under a flood one thing told in a thousand was lost, an access or a reply among them.
+        for (Told told; took < MOST_A_TURN && (told = next()) != null; took++) {
             learn(told);
-            took++;
+            if (stillUntil > 0) {
+                return false;
+            }
         }
         long now = clock.getAsLong();
         links.look(now);
@@ -297,9 +384,7 @@
             decide(now);
         }
         outbox.flush();
-        if (took == 0 && !ledger.hasEvents()) {
-            sleep(now);
-        }
+        return took == 0 && !ledger.hasEvents();
     }
 
     private long nextAlarm() {
@@ -314,7 +399,7 @@
     private void decide(long now) {
         counts.add(Count.TURNS);
         turnAt = now;
-        List<Action> actions = decide.decide(now, ledger.drain());
+        List<Action> actions = decisions.decide(now, ledger.drain());
         ledger.carryOut(now, actions);
         long took = Math.min(60_000_000, clock.getAsLong() - now);
         turnTimes.recordValue(took);
@@ -322,14 +407,19 @@
     }
 
     private void sleep(long now) {
-        long until = Math.min(Math.min(nextAlarm(), Math.min(paintAt, links.nextDue())), now + LONGEST_SLEEP);
+        long until = nextDue(now);
         parked = true;
-        if (queue.isEmpty() && own.isEmpty() && !killed && until > now) {
+        if ((queue.isEmpty() && own.isEmpty() || stillUntil > 0) && !killed && until > now) {
             LockSupport.parkNanos(this, (until - now) * 1000);
         }
         parked = false;
     }
 
+    private long nextDue(long now) {
+        return stillUntil > 0 ? stillUntil
+                : Math.min(Math.min(nextAlarm(), Math.min(paintAt, links.nextDue())), now + LONGEST_SLEEP);
+    }
+
     private void learn(Told told) {
         long now = clock.getAsLong();
         if (told instanceof Told.Taken t) {
@@ -396,6 +486,9 @@
         paintAt = now + PAINT_EVERY;
         fact(new Fact.Used(around.roomUsed()));
         fact(new Fact.Tick());
+        if (drive != null && picture != null) {
+            return; // nobody looks in a lab, and a picture costs what the targets and volumes are many
+        }
         picture = painter.paint(now, new Painter.Loop(lifecycle, around.placesTaken(), ledger.held(), links.out(),
                 around.roomUsed(), roster.version(), recent, paintCosts, ledger.latest(), roster::listedAs,
                 roster::isDrainedHere));
--- a/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -20,10 +20,11 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import milletyoke.config.Checker;
 import milletyoke.config.disk.DiskLibrary;
@@ -34,6 +35,7 @@
 import milletyoke.gateway.setup.FromFleet;
 import milletyoke.gateway.setup.Setup;
 import milletyoke.gateway.setup.SetupError;
+import milletyoke.port.Decisions;
 import milletyoke.port.Provisioning;
 import milletyoke.port.Provisioning.Category;
 import milletyoke.port.Provisioning.Group;
@@ -48,8 +50,9 @@
 import milletyoke.standins.Nature;
 import milletyoke.standins.Service;
 import milletyoke.standins.Target;
+import milletyoke.wire.Sockets;
 import milletyoke.wire.Tap;
-import milletyoke.wire.Wire;
+import milletyoke.wire.World;
 import milletyoke.wire.proto.Health;
 import milletyoke.wire.proto.Note;
 import milletyoke.wire.record.Recorder;
@@ -66,6 +69,8 @@
     private static final long NAP = 5_000, STOOD = 15_000;
 
     private final BadDay day;
+    private final World world;
+    private final Supplier<Decisions> instead;
     private final boolean straight;
     private final Path consoleTokens;
     /** Plans as they are now; where their limits change, initiators follow a file. */
@@ -73,11 +78,7 @@
     private volatile Setup.FleetFile fleetFile;
     private final Recorder recorder;
     private final Path folder;
-    private final ScheduledThreadPoolExecutor clockwork = new ScheduledThreadPoolExecutor(3, task -> {
-        Thread thread = new Thread(task, "clockwork");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledExecutorService clockwork;
     private final SplittableRandom chance;
     private final Discovery discovery;
     /** By shard: who holds it now. */
@@ -112,11 +113,24 @@
 
     /** @param consoleTokens who may look at the initiators' consoles, null for no consoles */
     public Stage(BadDay day, Path recording, boolean straight, Path consoleTokens) throws IOException {
+        this(day, recording, straight, consoleTokens, new Sockets(), null);
+    }
+
+    /**
+     * @param world that the day is played in; where it is virtual, nobody looks at consoles
+     * @param instead of the product's decisions, for comparison; null for these
+     */
+    public Stage(BadDay day, Path recording, boolean straight, Path consoleTokens, World world,
+            Supplier<Decisions> instead) throws IOException {
+        this.instead = instead;
+        this.world = world;
+        refuseWhatSocketsCannot(day);
+        clockwork = world.clockwork("clockwork", 3);
         this.consoleTokens = consoleTokens;
         this.day = day;
         this.straight = straight;
         chance = new SplittableRandom(day.seed());
-        recorder = recording == null ? null : new Recorder(recording);
+        recorder = recording == null ? null : new Recorder(recording, world::micros);
         folder = Files.createTempDirectory("milletyoke-rehearsal");
         plans.addAll(day.plans().stream().map(BadDay.PlanOf::plan).toList());
         fleetFile = day.troubles().stream().anyMatch(t -> t.sort() == BadDay.Sort.LIMIT) ? writeFleet() : null;
@@ -124,7 +138,7 @@
         initiators = new Initiator[straight ? 0 : day.initiators()];
         ports = new int[initiators.length];
         running = new boolean[initiators.length];
-        discovery = new Discovery(0, chance.nextLong(), clockwork, tap("discovery"));
+        discovery = new Discovery(0, chance.nextLong(), clockwork, tap("discovery"), world);
         discovery.lag(day.fleet().listLag()[0], day.fleet().listLag()[1]);
         for (int shard = 0; shard < day.fleet().targets(); shard++) {
             Target target = target("t" + (shard + 1), shard);
@@ -135,16 +149,33 @@
         for (int i = 0; i < initiators.length; i++) {
             startInitiator(i);
         }
-        clients = new Clients(demand(), straight, chance.nextLong(), clockwork, tap("client"));
+        clients = new Clients(demand(), straight, chance.nextLong(), clockwork, tap("client"), world);
         for (int i = 0; i < initiators.length; i++) {
             clients.addDoor(initiators[i].name(), "127.0.0.1", ports[i]);
         }
         if (straight) {
             targets.forEach(t -> clients.addDoor(t.id(), "127.0.0.1", t.port()));
         }
-        Thread naps = new Thread(this::watchForStandstill, "naps");
-        naps.setDaemon(true);
-        naps.start();
+        if (!world.isVirtual()) {
+            Thread naps = new Thread(this::watchForStandstill, "naps");
+            naps.setDaemon(true);
+            naps.start();
+        }
+    }
+
+    private void refuseWhatSocketsCannot(BadDay day) throws IOException {
+        if (!world.isVirtual()) {
+            for (Trouble t : day.troubles()) {
+                if (t.sort().virtual()) {
+                    throw new IOException(day.name() + ":" + t.line() + ": a " + t.sort().name().toLowerCase(Locale.ROOT)
+                            + " is played in the lab alone: bin/milletyoke lab play");
+                }
+            }
+            if (day.initiators() > 100 || day.fleet().targets() > 1000) {
+                throw new IOException(day.name() + ": up to 100 initiators and 1000 targets are played on sockets, not "
+                        + day.initiators() + " and " + day.fleet().targets() + "; the lab plays more: bin/milletyoke lab play");
+            }
+        }
     }
 
     private Tap tap(String witness) {
@@ -158,10 +189,10 @@
     }
 
     private void watchForStandstill() {
-        long last = Wire.micros();
+        long last = world.micros();
         while (!over) {
             LockSupport.parkNanos(NAP * 1000);
-            long now = Wire.micros();
+            long now = world.micros();
             if (now - last > NAP + STOOD) {
                 note("machine", Note.Kind.STOOD_STILL, "", now - last);
             }
@@ -183,7 +214,7 @@
                 f.putOff(), f.putOffEvery(), f.pauseEvery(), f.pause(), b.coldShare(), b.cold(), b.tipMultiple(),
                 b.fall(), f.tells(), f.dropsCancelled());
         return new Target(id, shard, nature, chance.nextLong(), clockwork, category -> marks(category, shard),
-                tap(id), this::note);
+                tap(id), this::note, world);
     }
 
     /** The marks that the target of a shard shares with its group; null where repeats are not dropped. */
@@ -207,12 +238,12 @@
                 new Address("127.0.0.1", discovery.port()), folder.resolve(name), fleetFile == null ? day.deployment()
                 : FromFleet.deployment(fleetFile.fleet()),
                 new Setup.Transport(250_000, 30_000_000, 4, 100, 250_000, 1 << 20, 8L << 20, 5_000_000, 2),
-                new Setup.Room(day.held(), 1 << 16, 1 << 16, 1e6, 3_600_000_000L),
+                new Setup.Room(day.held(), world.isVirtual() ? 1 << 12 : 1 << 16, 1 << 16, 1e6, 3_600_000_000L),
                 consoleTokens == null ? null : new Setup.Console(new Address("127.0.0.1", 0), consoleTokens, 1000),
                 fleetFile);
         note(name, Note.Kind.UP, "initiator", 0);
         try {
-            initiators[i] = Initiator.start(setup, tap(name));
+            initiators[i] = Initiator.start(setup, tap(name), world, draw(), instead);
         } catch (SetupError bad) {
             throw new IOException(bad.getMessage(), bad);
         }
@@ -297,26 +328,29 @@
 
     /** Plays the day to its end. @param live hears a line of service every second; may do nothing */
     public Played play(Consumer<String> live) throws IOException, InterruptedException {
-        return play(live, () -> { });
+        int[] second = new int[1];
+        return play(s -> live.accept(String.format("%3d s  %s", ++second[0], s.brief())), () -> { });
     }
 
-    /** @param before is run when clients have stopped asking, before the initiators leave */
-    public Played play(Consumer<String> live, Runnable before) throws IOException, InterruptedException {
+    /**
+     * Plays the day to its end.
+     *
+     * @param each sees the service so far after every second
+     * @param before is run when clients have stopped asking, before the initiators leave
+     */
+    public Played play(Consumer<Service> each, Runnable before) throws IOException, InterruptedException {
         if (!clients.awaitDoors(10_000)) {
             throw new IOException("the clients found no way in within 10 s");
         }
-        Thread.sleep(300); // the list reaches every initiator
+        world.sleep(300_000); // the list reaches every initiator
         long cpu = cpu();
         day.troubles().forEach(this::arrange);
         clients.start();
-        long start = Wire.micros();
-        for (long second = 1; Wire.micros() < start + day.lasts(); second++) {
+        long start = world.micros();
+        for (long second = 1; world.micros() < start + day.lasts(); second++) {
             long until = Math.min(start + second * 1_000_000, start + day.lasts());
-            LockSupport.parkNanos(Math.max(0, until - Wire.micros()) * 1000);
-            while (Wire.micros() < until) {
-                LockSupport.parkNanos(100_000);
-            }
-            live.accept(String.format("%3d s  %s", second, clients.service().brief()));
+            world.sleep(until - world.micros());
+            each.accept(clients.service());
         }
         before.run();
         long longest = day.kinds().stream().mapToLong(BadDay.Kind::abandon).max().orElse(0);
@@ -424,6 +458,9 @@
                 discovery.unavailable(true);
                 after(t.span(), () -> discovery.unavailable(false));
             }
+            case LIST_FLAP -> flap(t);
+            case PARTITION -> partition(t);
+            case CLOCK -> world.stepClock(t.span());
             case KILL -> struckInitiators(t).forEach(i -> kill(i, between(t.range())));
             case LEAVE -> struckInitiators(t).forEach(i -> leave(i, between(t.range())));
             case STILL -> struckInitiators(t).forEach(i -> initiators[i].standStill(t.span() / 1000, () ->
@@ -455,6 +492,34 @@
         return struck(t.whom(), initiators.length).stream().filter(i -> initiators.length > 0).toList();
     }
 
+    /** Shown and hidden in turn, shown at the end. */
+    private void flap(Trouble t) {
+        Set<String> some = new LinkedHashSet<>();
+        struckTargets(t).forEach(x -> some.add(x.id()));
+        boolean hide = true;
+        for (long in = 0; in < t.span(); in += t.every()) {
+            Set<String> next = hide ? some : Set.of();
+            after(in, () -> discovery.hide(next));
+            hide = !hide;
+        }
+        after(t.span(), () -> discovery.hide(Set.of()));
+    }
+
+    private void partition(Trouble t) {
+        List<Integer> shards = struck(new BadDay.Selection(t.figure(), t.count()), targets.size());
+        for (int i : struckInitiators(t)) {
+            String one = "initiator-" + (i + 1);
+            for (int shard : shards) {
+                String other = targets.get(shard).id();
+                boolean work = (t.every() & BadDay.GREY) != 0;
+                world.cut(one, other, work, t.span());
+                if ((t.every() & BadDay.ONE_WAY) == 0) {
+                    world.cut(other, one, work, t.span());
+                }
+            }
+        }
+    }
+
     // ---- Limits that change in service ----
 
     /** The deployment in the configuration language, written aside and renamed as a careful operator would. */
@@ -491,7 +556,7 @@
         target.kill();
         discovery.change(entry(target, Health.GONE));
         after(down, () -> {
-            launched.put(target.id(), Discovery.now());
+            launched.put(target.id(), discovery.now());
             target.start(true);
             discovery.change(entry(target, Health.ON));
         });
@@ -505,7 +570,7 @@
             after(t.span() * i / whom.size(), () -> {
                 discovery.change(entry(old, Health.DRAINING));
                 Target next = target(old.id() + "n", old.shard());
-                launched.put(next.id(), Discovery.now());
+                launched.put(next.id(), discovery.now());
                 next.start(true);
                 discovery.change(entry(next, Health.ON));
                 synchronized (targets) {
@@ -552,16 +617,7 @@
         }
         running[i] = false;
         note("initiator-" + (i + 1), Note.Kind.LEAVING, "", 0);
-        Thread leaver = new Thread(() -> {
-            try {
-                initiators[i].leave(30_000);
-                after(down, () -> startInitiator(i));
-            } catch (InterruptedException stopped) {
-                Thread.currentThread().interrupt();
-            }
-        }, "leaver");
-        leaver.setDaemon(true);
-        leaver.start();
+        initiators[i].leaveLater(30_000, () -> after(down, () -> startInitiator(i)));
     }
 
     @Override
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
@@ -17,6 +17,9 @@
         List<Provisioning.Category> categories, List<Kind> kinds, List<PlanOf> plans, Provisioning.Allowances allowances,
         BoundsOf bounds, boolean listAsked, Load load, List<Trouble> troubles) {
 
+    /** How a partition cuts, added up in {@link Trouble#every}: towards the targets alone; work alone, not probes. */
+    public static final long ONE_WAY = 1, GREY = 2;
+
     /** The targets; see {@link milletyoke.standins.Nature}. */
     public record Fleet(int targets, int zones, int cores, double[] speeds, long unit, int room, int connections,
             int extents, double extentSaves, double putOff, long putOffEvery, long pauseEvery, long pause, boolean tells,
@@ -39,6 +42,7 @@
      *
      * @param at since the start
      * @param line of the script, for messages
+     * @param count of volumes; of a partition the number of its target, 0 where {@code figure} is the part of them
      * @param name of the plan whose limit changes: {@code figure} is its rate, {@code range} depth and slack
      */
     public record Trouble(long at, int line, Sort sort, Selection whom, long span, double figure, long[] range,
@@ -49,7 +53,12 @@
 
     public enum Sort {
         HANG, SLOW, PAUSES, ERRORS, RESETS, UNREACHABLE, RESTART, ROLL, DRAIN, AGE, LIST_LATE, LIST_PARTIAL,
-        LIST_UNAVAILABLE, KILL, STILL, LEAVE, SURGE, HOTKEY, RECONNECT, LIMIT
+        LIST_UNAVAILABLE, LIST_FLAP, KILL, STILL, LEAVE, SURGE, HOTKEY, RECONNECT, LIMIT, PARTITION, CLOCK;
+
+        /** Whether only the lab can play it. */
+        public boolean virtual() {
+            return this == PARTITION || this == CLOCK;
+        }
     }
 
     /** Units within the fall time that a cold target always bears, whichever target it is. */
@@ -67,6 +76,12 @@
                 b.answerSlack(), b.drainGrace());
     }
 
+    /** The same day with other troubles, under another name and seed. */
+    public BadDay with(String called, long otherSeed, List<Trouble> others) {
+        return new BadDay(called, otherSeed, lasts, initiators, held, fleet, categories, kinds, plans, allowances, bounds,
+                listAsked, load, List.copyOf(others));
+    }
+
     /** The same day with another number of accesses a second. */
     public BadDay at(double rate) {
         Load other = new Load(rate, load.retries(), load.retryWait(), load.impatient(), load.littleTime(), load.vanish());
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
@@ -70,9 +70,16 @@
             }
             case "category" -> categories.add(w);
             case "plan" -> plans.add(w);
-            case "at" -> troubles.add(trouble(w, line));
+            case "at" -> troubles.add(trouble(w, w.time("at", w.next("the time"), true), line));
+            case "then" -> {
+                if (troubles.isEmpty()) {
+                    throw w.wrong("then follows a trouble, and none stands before it");
+                }
+                long after = w.time("then", w.next("how long after"), true);
+                troubles.add(trouble(w, troubles.get(troubles.size() - 1).at() + after, line));
+            }
             default -> throw w.wrong("\"" + verb + "\" is no statement; seed, lasts, initiators, targets, bounds, "
-                    + "allowances, load, list, category, plan and at are");
+                    + "allowances, load, list, category, plan, at and then are");
         }
     }
 
@@ -97,8 +104,8 @@
         int initiators = count == null ? 3 : (int) ini.figure("initiators", count, "");
         int held = ini.whole("held", "10000");
         ini.done();
-        if (initiators < 1 || initiators > 100) {
-            throw ini.wrong("1 to 100 initiators can be played, not " + initiators);
+        if (initiators < 1 || initiators > 10_000) {
+            throw ini.wrong("1 to 10000 initiators can be played, not " + initiators);
         }
         BadDay.Fleet fleet = fleet(single("targets"), single("list"));
         List<Category> provisioned = new ArrayList<>();
@@ -127,8 +134,13 @@
             if (t.sort() == Sort.LIMIT && !known) {
                 throw new ScriptError(file + ":" + t.line() + ": no plan with a limit is called " + t.name());
             }
-            boolean initiator = t.sort() == Sort.KILL || t.sort() == Sort.STILL || t.sort() == Sort.LEAVE;
+            boolean initiator = t.sort() == Sort.KILL || t.sort() == Sort.STILL || t.sort() == Sort.LEAVE
+                    || t.sort() == Sort.PARTITION;
             int most = initiator ? initiators : fleet.targets();
+            if (t.sort() == Sort.PARTITION && t.count() > fleet.targets()) {
+                throw new ScriptError(file + ":" + t.line() + ": there are " + fleet.targets() + " targets, none has number "
+                        + t.count());
+            }
             if (t.whom().number() > most) {
                 throw new ScriptError(file + ":" + t.line() + ": there are " + most + ", none has number "
                         + t.whom().number());
@@ -141,8 +153,8 @@
     private BadDay.Fleet fleet(Words w, Words list) throws ScriptError {
         String count = w.next();
         int targets = count == null ? 8 : (int) w.figure("targets", count, "");
-        if (targets < 1 || targets > 1000) {
-            throw w.wrong("1 to 1000 targets can be played, not " + targets);
+        if (targets < 1 || targets > 10_000) {
+            throw w.wrong("1 to 10000 targets can be played, not " + targets);
         }
         listAsked = list.flag("asked");
         long[] lag = list.times("lag", "100ms..300ms");
@@ -215,8 +227,7 @@
 
     // ---- What goes wrong ----
 
-    private static Trouble trouble(Words w, int line) throws ScriptError {
-        long at = w.time("at", w.next("the time"), true);
+    private static Trouble trouble(Words w, long at, int line) throws ScriptError {
         String verb = w.next("what happens");
         Selection whom = new Selection(0, 0);
         long span = 0, every = 0, down = 0;
@@ -285,12 +296,14 @@
                     case "late" -> Sort.LIST_LATE;
                     case "partial" -> Sort.LIST_PARTIAL;
                     case "unavailable" -> Sort.LIST_UNAVAILABLE;
-                    default -> throw w.wrong("a list is late, partial or unavailable, not \"" + how + "\"");
+                    case "flap" -> Sort.LIST_FLAP;
+                    default -> throw w.wrong("a list is late, partial, unavailable or flaps, not \"" + how + "\"");
                 };
                 if (sort == Sort.LIST_LATE) {
                     range = w.times("by", null);
-                } else if (sort == Sort.LIST_PARTIAL) {
+                } else if (sort == Sort.LIST_PARTIAL || sort == Sort.LIST_FLAP) {
                     whom = whom(w);
+                    every = sort == Sort.LIST_FLAP ? w.time("every", "200ms") : 0;
                 }
                 span = w.time("for", null);
             }
@@ -315,6 +328,19 @@
                 figure = w.part("part", "30%");
                 span = w.time("for", null);
             }
+            case "partition" -> {
+                sort = Sort.PARTITION;
+                whom = whom(w);
+                Selection there = selection(w, w.text("targets", null));
+                figure = there.part();
+                count = there.number();
+                every = (w.flag("oneway") ? BadDay.ONE_WAY : 0) + (w.flag("grey") ? BadDay.GREY : 0);
+                span = w.time("for", null);
+            }
+            case "clock" -> {
+                sort = Sort.CLOCK;
+                span = w.time("ahead", "0") - w.time("back", "0");
+            }
             case "reconnect" -> sort = Sort.RECONNECT;
             case "limit" -> {
                 sort = Sort.LIMIT;
@@ -330,7 +356,10 @@
 
     /** A part as 40%, or a number as 2. */
     private static Selection whom(Words w) throws ScriptError {
-        String text = w.next("whom it strikes, as 40% or a number from 1");
+        return selection(w, w.next("whom it strikes, as 40% or a number from 1"));
+    }
+
+    private static Selection selection(Words w, String text) throws ScriptError {
         if (text.endsWith("%")) {
             return new Selection(w.part("whom", text, 1), 0);
         }
--- a/standins/src/main/java/milletyoke/standins/Clients.java
+++ b/standins/src/main/java/milletyoke/standins/Clients.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,12 +14,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import java.util.stream.IntStream;
 import milletyoke.wire.BadFrame;
 import milletyoke.wire.Bounds;
+import milletyoke.wire.Net;
 import milletyoke.wire.Peer;
 import milletyoke.wire.PeerHandler;
+import milletyoke.wire.Sockets;
 import milletyoke.wire.Tap;
-import milletyoke.wire.Wire;
+import milletyoke.wire.World;
 import milletyoke.wire.proto.Access;
 import milletyoke.wire.proto.Answer;
 import milletyoke.wire.proto.Frame;
@@ -36,7 +40,8 @@
 
     private final Demand demand;
     private final boolean straight;
-    private final Wire wire;
+    private final World world;
+    private final Net wire;
     private final ScheduledExecutorService clockwork;
     private final Service service;
     private final SplittableRandom chance;
@@ -45,9 +50,13 @@
     private final AtomicInteger pendingCount = new AtomicInteger();
     private final Thread pace;
     private volatile boolean stopped;
-    private volatile Map<String, Double> surges = Map.of();
+    private volatile int[] surges = new int[0];
+    /** The parts of demand of all volumes up to each, in their order. */
+    private final double[] upTo;
     private volatile double extra;
     private volatile double hot;
+    /** When the next first try is due; of the one who paces. */
+    private long due;
     private long[] runs;
     private String[] runExtents;
 
@@ -179,13 +188,22 @@
     /** @param straight to targets, by shard, with nothing between */
     public Clients(Demand demand, boolean straight, long seed, ScheduledExecutorService clockwork, Tap tap)
             throws IOException {
+        this(demand, straight, seed, clockwork, tap, new Sockets());
+    }
+
+    /** @param world that they live in */
+    public Clients(Demand demand, boolean straight, long seed, ScheduledExecutorService clockwork, Tap tap, World world)
+            throws IOException {
+        this.world = world;
         this.demand = demand;
         this.straight = straight;
         this.clockwork = clockwork;
         service = new Service(demand);
         chance = new SplittableRandom(seed);
-        wire = new Wire("client", 2, tap);
+        wire = world.net("client", 2, tap);
         runs = new long[demand.volumes().size()];
+        upTo = demand.volumes().stream().mapToDouble(Demand.Volume::part).toArray();
+        Arrays.parallelPrefix(upTo, Double::sum);
         runExtents = new String[demand.volumes().size()];
         pace = new Thread(this::pace, "clients-pace");
         pace.setDaemon(true);
@@ -208,26 +226,30 @@
 
     /** Waits until every door is open; false where one is not in time. */
     public boolean awaitDoors(long millis) {
-        long until = Wire.micros() + millis * 1000;
+        long until = world.micros() + millis * 1000;
         while (doors.stream().anyMatch(d -> d.peer == null)) {
-            if (Wire.micros() > until) {
+            if (world.micros() > until) {
                 return false;
             }
-            LockSupport.parkNanos(1_000_000);
+            world.sleep(1_000);
         }
         return true;
     }
 
     public void start() {
-        pace.start();
+        due = world.micros();
+        if (world.isVirtual()) {
+            paceNext();
+        } else {
+            pace.start();
+        }
     }
 
     /** Some volumes ask for so much more that all traffic grows by this part; an empty set ends it. */
     public void surge(Set<String> volumes, double by) {
-        Map<String, Double> now = new ConcurrentHashMap<>();
-        volumes.forEach(v -> now.put(v, by / volumes.size()));
-        extra = volumes.isEmpty() ? 0 : by;
-        surges = now;
+        List<Demand.Volume> all = demand.volumes();
+        surges = IntStream.range(0, all.size()).filter(v -> volumes.contains(all.get(v).name())).toArray();
+        extra = surges.length == 0 ? 0 : by;
     }
 
     /** This part of accesses goes to one piece of data. */
@@ -248,10 +270,10 @@
     /** Sends nothing new, waits for what is out, and closes. @return tries still without an answer */
     public int stop(long millis) throws InterruptedException {
         stopped = true;
-        pace.join();
-        long until = Wire.micros() + millis * 1000;
-        while (pendingCount.get() > 0 && Wire.micros() < until) {
-            Thread.sleep(5);
+        pace.join(); // at once where it never was started
+        long until = world.micros() + millis * 1000;
+        while (pendingCount.get() > 0 && world.micros() < until) {
+            world.sleep(5_000);
         }
         int left = pendingCount.get();
         wire.close();
@@ -267,21 +289,38 @@
     // ---- Sending ----
 
     private void pace() {
-        long due = Wire.micros();
         while (!stopped) {
-            double rate = demand.rate() * (1 + extra);
-            due += (long) (-Math.log(1 - chance.nextDouble()) * 1e6 / rate);
-            long wait = due - Wire.micros();
+            due += gap();
+            long wait = due - world.micros();
             if (wait > 0) {
                 LockSupport.parkNanos(wait * 1000);
             }
-            Try first = draw(due);
-            service.asked(first.kind.name());
-            pendingCount.incrementAndGet();
-            send(first);
+            first();
         }
     }
 
+    /** As {@link #pace}, by a timer for each access. */
+    private void paceNext() {
+        due += gap();
+        clockwork.schedule(() -> {
+            if (!stopped) {
+                first();
+                paceNext();
+            }
+        }, due - world.micros(), TimeUnit.MICROSECONDS);
+    }
+
+    private long gap() {
+        return (long) (-Math.log(1 - chance.nextDouble()) * 1e6 / (demand.rate() * (1 + extra)));
+    }
+
+    private void first() {
+        Try first = draw(due);
+        service.asked(first.kind.name(), first.volume.name());
+        pendingCount.incrementAndGet();
+        send(first);
+    }
+
     private Try draw(long due) {
         Demand.Kind kind = pickKind();
         int v = pickVolume();
@@ -310,17 +349,15 @@
         return demand.kinds().get(0);
     }
 
+    /** By the parts of demand, and what a surge adds to its volumes in equal parts; a look-up among however many. */
     private int pickVolume() {
-        Map<String, Double> now = surges;
-        double left = chance.nextDouble() * (1 + extra);
-        for (int v = 0; v < demand.volumes().size(); v++) {
-            Demand.Volume volume = demand.volumes().get(v);
-            left -= volume.part() + (now.isEmpty() ? 0 : now.getOrDefault(volume.name(), 0.0));
-            if (left < 0) {
-                return v;
-            }
+        int[] surging = surges;
+        double part = chance.nextDouble() * (1 + extra);
+        if (part >= 1 && surging.length > 0) {
+            return surging[chance.nextInt(surging.length)];
         }
-        return 0;
+        int at = Arrays.binarySearch(upTo, part);
+        return Math.min(upTo.length - 1, at >= 0 ? at + 1 : -at - 1);
     }
 
     /** Programs send several accesses to one piece of data in a row. */
@@ -334,7 +371,7 @@
 
     private void send(Try t) {
         Door door = doors.get(t.door);
-        long now = Wire.micros();
+        long now = world.micros();
         long left = t.until - now;
         if (left <= 0) {
             finish(t, () -> service.unanswered(t.kind.name()));
@@ -415,8 +452,8 @@
     }
 
     private void served(Try t) {
-        long micros = Wire.micros() - t.due;
-        finish(t, () -> service.answered(t.kind.name(), micros, micros <= t.kind.agreed()));
+        long micros = world.micros() - t.due;
+        finish(t, () -> service.answered(t.kind.name(), t.volume.name(), micros, micros <= t.kind.agreed()));
     }
 
     private void lost(Try t) {
@@ -431,7 +468,7 @@
 
     private void again(Try t, long advised, Runnable otherwise) {
         long wait = advised > 0 ? advised : demand.retryWait();
-        if (t.tries >= demand.retries() || Wire.micros() + wait >= t.until || stopped) {
+        if (t.tries >= demand.retries() || world.micros() + wait >= t.until || stopped) {
             finish(t, otherwise);
             return;
         }
--- a/standins/src/main/java/milletyoke/standins/Discovery.java
+++ b/standins/src/main/java/milletyoke/standins/Discovery.java
@@ -1,8 +1,8 @@
 package milletyoke.standins;
 
 import java.io.IOException;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,10 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import milletyoke.wire.BadFrame;
 import milletyoke.wire.Bounds;
+import milletyoke.wire.Net;
 import milletyoke.wire.Peer;
 import milletyoke.wire.PeerHandler;
+import milletyoke.wire.Sockets;
 import milletyoke.wire.Tap;
-import milletyoke.wire.Wire;
+import milletyoke.wire.World;
 import milletyoke.wire.proto.Frame;
 import milletyoke.wire.proto.Health;
 import milletyoke.wire.proto.Role;
@@ -26,12 +28,13 @@
  * keep their order. A follower gets the whole list and then every change.
  */
 public final class Discovery implements PeerHandler {
-    private final Wire wire;
-    private final Wire.Listener listener;
+    private final World world;
+    private final Net wire;
+    private final Net.Listener listener;
     private final ScheduledExecutorService clockwork;
     private final SplittableRandom chance;
     private final Map<String, milletyoke.wire.proto.Target> known = new LinkedHashMap<>();
-    private final Set<Peer> followers = new HashSet<>();
+    private final Set<Peer> followers = new LinkedHashSet<>();
     private long version = 1;
     private long leastLag, mostLag;
     private long lastDue;
@@ -40,9 +43,14 @@
 
     /** @param port 0 takes a free one */
     public Discovery(int port, long seed, ScheduledExecutorService clockwork, Tap tap) throws IOException {
+        this(port, seed, clockwork, tap, new Sockets());
+    }
+
+    public Discovery(int port, long seed, ScheduledExecutorService clockwork, Tap tap, World world) throws IOException {
+        this.world = world;
         this.clockwork = clockwork;
         chance = new SplittableRandom(seed);
-        wire = new Wire("discovery", 1, tap);
+        wire = world.net("discovery", 1, tap);
         listener = wire.listen("127.0.0.1", port, Role.DISCOVERY, this, new Bounds(16 << 20, 64 << 20, 5_000_000, 0));
     }
 
@@ -51,8 +59,8 @@
     }
 
     /** The clock on which starts are told (microseconds). */
-    public static long now() {
-        return System.currentTimeMillis() * 1000;
+    public long now() {
+        return world.timeOfDay();
     }
 
     public static milletyoke.wire.proto.Target entry(Target target, String zone, Health health, long launched) {
@@ -68,7 +76,7 @@
 
     /** A change that is so from now on; it is told after the lag. */
     public synchronized void change(milletyoke.wire.proto.Target entry) {
-        long now = Wire.micros();
+        long now = world.micros();
         lastDue = Math.max(lastDue, now + leastLag + (mostLag > leastLag ? chance.nextLong(mostLag - leastLag) : 0));
         clockwork.schedule(() -> learn(entry), lastDue - now, TimeUnit.MICROSECONDS);
     }
@@ -108,7 +116,7 @@
 
     private void tell(Scope scope, List<milletyoke.wire.proto.Target> targets) {
         Frame frame = frame(scope, targets);
-        Set.copyOf(followers).forEach(f -> f.send(frame));
+        List.copyOf(followers).forEach(f -> f.send(frame));
     }
 
     private Frame frame(Scope scope, List<milletyoke.wire.proto.Target> targets) {
--- a/standins/src/main/java/milletyoke/standins/Service.java
+++ b/standins/src/main/java/milletyoke/standins/Service.java
@@ -37,17 +37,22 @@
     }
 
     private final Map<String, Line> lines = new LinkedHashMap<>();
+    /** By volume, in the order of the demand: asked and answered in time. */
+    private final Map<String, long[]> volumes = new LinkedHashMap<>();
 
     Service(Demand demand) {
         demand.kinds().forEach(k -> lines.put(k.name(), new Line(k.importance())));
+        demand.volumes().forEach(v -> volumes.put(v.name(), new long[2]));
     }
 
-    synchronized void asked(String kind) {
+    synchronized void asked(String kind, String volume) {
         lines.get(kind).asked++;
+        volumes.get(volume)[0]++;
     }
 
     /** @param micros since the first try was due */
-    synchronized void answered(String kind, long micros, boolean inTime) {
+    synchronized void answered(String kind, String volume, long micros, boolean inTime) {
+        volumes.get(volume)[1] += inTime ? 1 : 0;
         Line line = lines.get(kind);
         line.answered++;
         line.inTime += inTime ? 1 : 0;
@@ -84,6 +89,28 @@
         return due == 0 ? 1 : earned / due;
     }
 
+    /**
+     * How even service is between volumes that asked: the index of Jain, Chiu and Hawe (DEC-TR-301, 1984) over the part of each
+     * one's accesses that were answered in time. 1 where all are served alike, 1/n where one of n has it all.
+     */
+    public synchronized double evenness() {
+        double sum = 0, squares = 0;
+        int count = 0;
+        for (long[] v : volumes.values()) {
+            if (v[0] > 0) {
+                double part = v[1] / (double) v[0];
+                sum += part;
+                squares += part * part;
+                count++;
+            }
+        }
+        return squares == 0 ? 1 : sum * sum / (count * squares);
+    }
+
+    public synchronized Map<String, Line> lines() {
+        return new LinkedHashMap<>(lines);
+    }
+
     public synchronized long askedInAll() {
         return lines.values().stream().mapToLong(l -> l.asked).sum();
     }
--- a/standins/src/main/java/milletyoke/standins/Target.java
+++ b/standins/src/main/java/milletyoke/standins/Target.java
@@ -3,7 +3,8 @@
 import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.util.ArrayDeque;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -12,10 +13,12 @@
 import java.util.function.Function;
 import milletyoke.wire.BadFrame;
 import milletyoke.wire.Bounds;
+import milletyoke.wire.Net;
 import milletyoke.wire.Peer;
 import milletyoke.wire.PeerHandler;
+import milletyoke.wire.Sockets;
 import milletyoke.wire.Tap;
-import milletyoke.wire.Wire;
+import milletyoke.wire.World;
 import milletyoke.wire.proto.Frame;
 import milletyoke.wire.proto.Load;
 import milletyoke.wire.proto.Note;
@@ -39,8 +42,9 @@
     private final Witness witness;
     private final SplittableRandom chance;
 
-    private Wire wire;
-    private Wire.Listener listener;
+    private final World world;
+    private Net wire;
+    private Net.Listener listener;
     private int port;
     private int life;
     private boolean up;
@@ -48,10 +52,10 @@
     private boolean cold;
 
     private final ArrayDeque<Job> waiting = new ArrayDeque<>();
-    private final Set<Job> running = new HashSet<>();
+    private final Set<Job> running = new LinkedHashSet<>();
     private final ArrayDeque<String> extents = new ArrayDeque<>();
     private final ArrayDeque<long[]> coldSent = new ArrayDeque<>();
-    private final Set<Peer> peers = new HashSet<>();
+    private final Set<Peer> peers = new LinkedHashSet<>();
     private double coldUnits;
     private double putOffWork;
     private long stillUntil;
@@ -70,6 +74,13 @@
      */
     public Target(String id, int shard, Nature nature, long seed, ScheduledExecutorService clockwork,
             Function<String, Marks> marksOf, Tap tap, Witness witness) {
+        this(id, shard, nature, seed, clockwork, marksOf, tap, witness, new Sockets());
+    }
+
+    /** @param world that it lives in */
+    public Target(String id, int shard, Nature nature, long seed, ScheduledExecutorService clockwork,
+            Function<String, Marks> marksOf, Tap tap, Witness witness, World world) {
+        this.world = world;
         this.id = id;
         this.shard = shard;
         this.nature = nature;
@@ -110,14 +121,14 @@
 
     /** Starts it, on the port it had before if it had one. @param fromCold whether it must warm up */
     public synchronized void start(boolean fromCold) throws IOException {
-        wire = new Wire(id, 1, tap);
+        wire = world.net(id, 1, tap);
         listener = wire.listen("127.0.0.1", port, Role.TARGET, this,
                 new Bounds(4 << 20, 16 << 20, 5_000_000, 0));
         port = listener.port();
         life++;
         up = true;
         cold = fromCold;
-        startedAt = Wire.micros();
+        startedAt = world.micros();
         fallen = false;
         hangs = false;
         coldUnits = 0;
@@ -144,7 +155,7 @@
 
     /** Ends it as a kill would: its connections are reset and what it held is forgotten. */
     public void kill() {
-        Wire old;
+        Net old;
         synchronized (this) {
             if (!up) {
                 return;
@@ -209,9 +220,9 @@
 
     /** Resets all of its connections; what runs goes on, and its answers are lost. */
     public void resetConnections() {
-        Set<Peer> now;
+        List<Peer> now;
         synchronized (this) {
-            now = new HashSet<>(peers);
+            now = List.copyOf(peers);
             peers.clear();
         }
         now.forEach(Peer::reset);
@@ -227,7 +238,7 @@
     }
 
     private void stand(long micros) {
-        stillUntil = Math.max(stillUntil, Wire.micros() + micros);
+        stillUntil = Math.max(stillUntil, world.micros() + micros);
     }
 
     private void doPutOff() {
@@ -276,7 +287,7 @@
 
     /** The outcome where it is known at once; else null, and the access waits, runs, or is never heard of again. */
     private Outcome take(Peer peer, Relay relay) {
-        long now = Wire.micros();
+        long now = world.micros();
         press(now, relay.getUnits());
         if (hangs || fallen || !up) {
             return null;
@@ -366,7 +377,7 @@
 
     private void finish(Job job) {
         synchronized (this) {
-            long now = Wire.micros();
+            long now = world.micros();
             if (job.life() != life || hangs || fallen) {
                 return;
             }
@@ -398,7 +409,7 @@
             long in;
             synchronized (this) {
                 load = load();
-                in = Math.max(0, stillUntil - Wire.micros());
+                in = Math.max(0, stillUntil - world.micros());
             }
             Frame answer = Frame.newBuilder().setProbeReply(ProbeReply.newBuilder().setNumber(number).setLoad(load))
                     .build();
--- a/wire/src/main/java/milletyoke/wire/Peer.java
+++ b/wire/src/main/java/milletyoke/wire/Peer.java
@@ -1,27 +1,19 @@
 package milletyoke.wire;
 
-import java.io.IOException;
-import java.net.SocketAddress;
-import java.net.StandardSocketOptions;
-import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import milletyoke.wire.proto.Bye;
 import milletyoke.wire.proto.Direction;
 import milletyoke.wire.proto.Frame;
 import milletyoke.wire.proto.GoingAway;
 import milletyoke.wire.proto.Hello;
 import milletyoke.wire.proto.Role;
-import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.WriteResult;
-import org.glassfish.grizzly.nio.NIOConnection;
 
 /** The other end of one connection. Any thread may send; the order of sends by one thread is kept. */
-public final class Peer implements Line {
+public abstract class Peer implements Line {
     /** The versions of the protocol that this build speaks. */
     static final int LOWEST = 1, HIGHEST = 2;
     /** The first version that knows a goodbye in two steps. */
@@ -30,10 +22,9 @@
     private static final int EACH = 256;
     /** Posted frames leave at once from this size on. */
     private static final int MOST_POSTED = 256 * 1024;
-    private static final AtomicInteger NEXT = new AtomicInteger();
 
-    private final int id = NEXT.incrementAndGet();
-    private final Connection<SocketAddress> connection;
+    private final int id;
+    private final LongSupplier clock;
     private final PeerHandler handler;
     private final Bounds bounds;
     private final Tap tap;
@@ -50,13 +41,14 @@
     private volatile long partialSince;
     private volatile String fault;
 
-    @SuppressWarnings("unchecked") // a TCP connection's addresses are socket addresses
-    Peer(Connection<?> connection, PeerHandler handler, Bounds bounds, Tap tap) {
-        this.connection = (Connection<SocketAddress>) connection;
+    /** @param id unique in its world; a set of peers that is gone over goes in an order that follows from ids */
+    protected Peer(int id, PeerHandler handler, Bounds bounds, Tap tap, LongSupplier clock) {
+        this.id = id;
+        this.clock = clock;
         this.handler = handler;
         this.bounds = bounds;
         this.tap = tap;
-        lastUse = Wire.micros();
+        lastUse = clock.getAsLong();
         partialSince = lastUse; // a hello is owed
     }
 
@@ -76,7 +68,7 @@
 
     @Override
     public boolean isOpen() {
-        return !closed.get() && connection.isOpen();
+        return !closed.get() && isConnected();
     }
 
     /** What this peer did that its connection was closed for; null where it did nothing wrong. */
@@ -101,7 +93,7 @@
         if (size == 0) {
             return false;
         }
-        write(new FrameFilter.Frames(List.of(frame)), size);
+        write(List.of(frame), size);
         return true;
     }
 
@@ -121,7 +113,7 @@
     @Override
     public void flush() {
         if (!posted.isEmpty()) {
-            FrameFilter.Frames frames = new FrameFilter.Frames(posted);
+            List<Frame> frames = posted;
             int size = postedBytes;
             posted = new ArrayList<>();
             postedBytes = 0;
@@ -148,26 +140,29 @@
             close(fault);
             return 0;
         }
-        lastUse = Wire.micros();
+        lastUse = clock.getAsLong();
         tap.saw(this, Direction.SENT, frame);
         return size;
     }
 
-    private void write(FrameFilter.Frames frames, int size) {
-        connection.write(frames, new EmptyCompletionHandler<WriteResult<FrameFilter.Frames, SocketAddress>>() {
-            @Override
-            public void completed(WriteResult<FrameFilter.Frames, SocketAddress> result) {
-                waitingBytes.addAndGet(-size);
-            }
-
-            @Override
-            public void failed(Throwable cause) {
-                waitingBytes.addAndGet(-size);
-                close("writing failed: " + cause.getMessage());
-            }
-        });
+    /** What was handed over has left; to be called once for each {@link #write}. */
+    protected final void written(int size) {
+        waitingBytes.addAndGet(-size);
     }
 
+    // ---- What carries it ----
+
+    protected abstract boolean isConnected();
+
+    /** Takes frames to be delivered in this order, and tells {@link #written} when they have left. */
+    protected abstract void write(List<Frame> frames, int size);
+
+    /** Closes; what was written before may still arrive. */
+    protected abstract void disconnect();
+
+    /** Closes so that the other end sees a reset. */
+    protected abstract void cut();
+
     @Override
     public void bye(String why) {
         send(byeFrame(why));
@@ -195,7 +190,7 @@
     @Override
     public void close(String why) {
         if (closed.compareAndSet(false, true)) {
-            connection.closeSilently();
+            disconnect();
             tap.saw(this, Direction.CLOSED, null);
             handler.closed(this, why);
         }
@@ -204,23 +199,18 @@
     /** Closes so that the other end sees a reset, as after a kill of this process; the handler is not told. */
     public void reset() {
         if (closed.compareAndSet(false, true)) {
-            try {
-                ((SocketChannel) ((NIOConnection) connection).getChannel()).setOption(StandardSocketOptions.SO_LINGER, 0);
-            } catch (IOException | RuntimeException alreadyGone) {
-                // closed below all the same
-            }
-            connection.terminateSilently();
+            cut();
             tap.saw(this, Direction.CLOSED, null);
         }
     }
 
-    void greet(Role own, String ownName) {
+    protected final void greet(Role own, String ownName) {
         send(Frame.newBuilder().setHello(Hello.newBuilder().setLowestVersion(LOWEST).setHighestVersion(HIGHEST)
                 .setRole(own).setName(ownName)).build());
     }
 
-    void got(Frame frame) {
-        lastUse = Wire.micros();
+    protected final void got(Frame frame) {
+        lastUse = clock.getAsLong();
         partialSince = 0;
         if (closed.get()) {
             return;
@@ -263,7 +253,7 @@
     }
 
     void partial() {
-        lastUse = Wire.micros();
+        lastUse = clock.getAsLong();
         partialSince = partialSince == 0 ? lastUse : partialSince;
     }
 
@@ -280,6 +270,16 @@
         }
     }
 
+    @Override
+    public final int hashCode() {
+        return id;
+    }
+
+    @Override
+    public final boolean equals(Object other) {
+        return this == other;
+    }
+
     @Override
     public String toString() {
         return (name.isEmpty() ? "peer" : name) + "#" + id;
--- a/wire/src/main/java/milletyoke/wire/PeerFilter.java
+++ b/wire/src/main/java/milletyoke/wire/PeerFilter.java
@@ -53,7 +53,7 @@
     }
 
     private void opened(Connection<?> connection) {
-        Peer peer = new Peer(connection, handler, bounds, tap);
+        Peer peer = new SocketPeer(connection, handler, bounds, tap);
         PEER.set(connection, peer);
         wire.add(peer);
         tap.saw(peer, Direction.OPENED, null);
--- /dev/null
+++ b/wire/src/main/java/milletyoke/wire/SocketPeer.java
@@ -0,0 +1,63 @@
+package milletyoke.wire;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import milletyoke.wire.proto.Frame;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/** A peer at the other end of a TCP connection. */
+final class SocketPeer extends Peer {
+    private static final AtomicInteger NEXT = new AtomicInteger();
+
+    private final Connection<SocketAddress> connection;
+
+    @SuppressWarnings("unchecked") // a TCP connection's addresses are socket addresses
+    SocketPeer(Connection<?> connection, PeerHandler handler, Bounds bounds, Tap tap) {
+        super(NEXT.incrementAndGet(), handler, bounds, tap, Wire::micros);
+        this.connection = (Connection<SocketAddress>) connection;
+    }
+
+    @Override
+    protected boolean isConnected() {
+        return connection.isOpen();
+    }
+
+    @Override
+    protected void write(List<Frame> frames, int size) {
+        connection.write(new FrameFilter.Frames(frames),
+                new EmptyCompletionHandler<WriteResult<FrameFilter.Frames, SocketAddress>>() {
+            @Override
+            public void completed(WriteResult<FrameFilter.Frames, SocketAddress> result) {
+                written(size);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                written(size);
+                close("writing failed: " + cause.getMessage());
+            }
+        });
+    }
+
+    @Override
+    protected void disconnect() {
+        connection.closeSilently();
+    }
+
+    @Override
+    protected void cut() {
+        try {
+            ((SocketChannel) ((NIOConnection) connection).getChannel()).setOption(StandardSocketOptions.SO_LINGER, 0);
+        } catch (IOException | RuntimeException alreadyGone) {
+            // closed below all the same
+        }
+        connection.terminateSilently();
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/milletyoke/wire/Sockets.java
@@ -0,0 +1,51 @@
+package milletyoke.wire;
+
+import java.io.IOException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.locks.LockSupport;
+
+/** This machine: its monotonic clock, its sockets, threads of its own for every loop. Holds no state. */
+public final class Sockets implements World {
+    @Override
+    public long micros() {
+        return Wire.micros();
+    }
+
+    @Override
+    public long timeOfDay() {
+        return System.currentTimeMillis() * 1000;
+    }
+
+    @Override
+    public Net net(String name, int threads, Tap tap) throws IOException {
+        return new Wire(name, threads, tap);
+    }
+
+    @Override
+    public ScheduledExecutorService clockwork(String name, int threads) {
+        return new ScheduledThreadPoolExecutor(threads, task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    @Override
+    public boolean isVirtual() {
+        return false;
+    }
+
+    @Override
+    public void sleep(long micros) {
+        long until = Wire.micros() + micros;
+        for (long left = micros; left > 0; left = until - Wire.micros()) {
+            LockSupport.parkNanos(left * 1000);
+        }
+    }
+
+    @Override
+    public Drive drive(Turns turns) {
+        return null;
+    }
+}
--- a/wire/src/main/java/milletyoke/wire/Wire.java
+++ b/wire/src/main/java/milletyoke/wire/Wire.java
@@ -23,7 +23,7 @@
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /** One participant's sockets: its listeners, its connections and the threads that serve them. */
-public final class Wire implements AutoCloseable {
+public final class Wire implements Net {
     /** What was handed over before a clean end has this long to be taken by its readers (microseconds). */
     private static final long LAST_WRITES = 1_000_000;
 
@@ -71,16 +71,12 @@
         return System.nanoTime() / 1000;
     }
 
-    /**
-     * Listens at an address; port 0 takes a free one.
-     *
-     * @throws IOException where the address cannot be had, with a message that names it
-     */
-    public Listener listen(String host, int port, Role role, PeerHandler handler, Bounds bounds) throws IOException {
+    @Override
+    public Net.Listener listen(String host, int port, Role role, PeerHandler handler, Bounds bounds) throws IOException {
         try {
             TCPNIOServerConnection server = (TCPNIOServerConnection) binder(role, handler, bounds).bind(
                     new InetSocketAddress(host, port));
-            return new Listener(this, server);
+            return new Bound(this, server);
         } catch (IOException failed) {
             throw new IOException("cannot listen at " + host + ":" + port + ": " + failed.getMessage(), failed);
         }
@@ -92,11 +88,11 @@
                 .processor(chain(role, handler, bounds)).build();
     }
 
-    /** Connects without waiting; the handler's ready tells of success, {@code failed} of the reason why not. */
-    public Attempt connect(String host, int port, Role role, PeerHandler handler, Bounds bounds,
+    @Override
+    public Net.Attempt connect(String host, int port, Role role, PeerHandler handler, Bounds bounds,
             Consumer<String> failed) {
         var connector = TCPNIOConnectorHandler.builder(transport).processor(chain(role, handler, bounds)).build();
-        Attempt attempt = new Attempt();
+        Making attempt = new Making();
         connector.connect(new InetSocketAddress(host, port), new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection made) {
@@ -138,7 +134,7 @@
         transport.unbind(server);
     }
 
-    /** Drops every connection as a kill would: resets, nothing told to any handler here. */
+    @Override
     public void abort() {
         looks.shutdownNow();
         transport.unbindAll();
@@ -168,7 +164,7 @@
     }
 
     /** A connection in the making, which can be given up. */
-    public static final class Attempt {
+    private static final class Making implements Net.Attempt {
         private Connection<?> made;
         private boolean givenUp;
 
@@ -179,6 +175,7 @@
             }
         }
 
+        @Override
         public synchronized void giveUp() {
             givenUp = true;
             if (made != null) {
@@ -188,13 +185,14 @@
     }
 
     /** A bound address. */
-    public record Listener(Wire wire, TCPNIOServerConnection server) {
+    private record Bound(Wire wire, TCPNIOServerConnection server) implements Net.Listener {
+        @Override
         public int port() {
             SocketAddress local = server.getLocalAddress();
             return ((InetSocketAddress) local).getPort();
         }
 
-        /** Takes no further connections; those there are go on. */
+        @Override
         public void stop() {
             wire.unbind(server);
         }
--- a/wire/src/main/java/milletyoke/wire/record/Recorder.java
+++ b/wire/src/main/java/milletyoke/wire/record/Recorder.java
@@ -13,9 +13,9 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import milletyoke.wire.Peer;
 import milletyoke.wire.Tap;
-import milletyoke.wire.Wire;
 import milletyoke.wire.proto.Direction;
 import milletyoke.wire.proto.Frame;
 import milletyoke.wire.proto.Note;
@@ -29,11 +29,14 @@
     private static final Record END = Record.getDefaultInstance();
 
     private final ArrayBlockingQueue<Record> queue = new ArrayBlockingQueue<>(1 << 16);
+    private final LongSupplier clock;
     private final OutputStream out;
     private final Thread writer;
     private volatile IOException failed;
 
-    public Recorder(Path file) throws IOException {
+    /** @param clock of the world that is recorded (microseconds) */
+    public Recorder(Path file, LongSupplier clock) throws IOException {
+        this.clock = clock;
         out = new BufferedOutputStream(Files.newOutputStream(file), 1 << 18);
         writer = new Thread(this::write, "recorder");
         writer.setDaemon(true);
@@ -46,7 +49,7 @@
     }
 
     private void saw(String witness, Peer peer, Direction direction, Frame frame) {
-        Record.Builder record = Record.newBuilder().setAt(Wire.micros()).setWitness(witness)
+        Record.Builder record = Record.newBuilder().setAt(clock.getAsLong()).setWitness(witness)
                 .setPeer(peer.name()).setConnection(peer.id()).setDirection(direction);
         if (frame != null) {
             record.setFrame(bare(frame));
@@ -70,7 +73,7 @@
 
     /** Records what was done to a part, or what it did on no connection. */
     public void note(String witness, Note.Kind kind, String text, double figure) {
-        put(Record.newBuilder().setAt(Wire.micros()).setWitness(witness)
+        put(Record.newBuilder().setAt(clock.getAsLong()).setWitness(witness)
                 .setNote(Note.newBuilder().setKind(kind).setText(text).setFigure(figure)).build());
     }
 
