Lab: fleets in virtual time, experiments with intervals and plots, storms that shrink

Change: module lab. LabWorld is one seeded queue of events; Stage plays in it what it plays on sockets, with the gateway's own daemons, and the auditor reads both recordings.

--- /dev/null
+++ b/cli/src/main/java/milletyoke/cli/Lab.java
@@ -0,0 +1,200 @@
+package milletyoke.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import milletyoke.lab.experiment.Experiment;
+import milletyoke.lab.experiment.Results;
+import milletyoke.lab.experiment.Row;
+import milletyoke.lab.experiment.Runner;
+import milletyoke.lab.play.Play;
+import milletyoke.lab.report.Report;
+import milletyoke.lab.storm.Hunt;
+import milletyoke.rehearsal.audit.Audit;
+import milletyoke.rehearsal.script.BadDay;
+import milletyoke.rehearsal.script.Script;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+@Command(name = "lab", mixinStandardHelpOptions = true, subcommands = {Lab.PlayDays.class, Lab.RunExperiment.class,
+        Lab.ShowReport.class, Lab.HuntStorms.class},
+        description = "Fleets in virtual time: the same daemons, stand-ins and scripts, without sockets.")
+final class Lab implements Callable<Integer> {
+    @Override
+    public Integer call() {
+        picocli.CommandLine.usage(this, System.err);
+        return 2;
+    }
+
+    @Command(name = "play", mixinStandardHelpOptions = true,
+            description = "Plays bad days in virtual time, then audits the rules; 0 only if every rule was kept.")
+    static final class PlayDays implements Callable<Integer> {
+        @Parameters(arity = "1..*", paramLabel = "SCRIPT", description = "Scripts of bad days.")
+        private List<Path> scripts;
+
+        @Option(names = "--record", paramLabel = "FILE", description = "Keep the recording here (one script only).")
+        private Path keep;
+
+        @Option(names = "--bare", description = "Record nothing and audit nothing: for fleets of great size.")
+        private boolean bare;
+
+        @Option(names = "--brief", description = "One line a script.")
+        private boolean brief;
+
+        @Override
+        public Integer call() throws Exception {
+            if (keep != null && (scripts.size() > 1 || bare)) {
+                throw new IllegalArgumentException("--record takes one script, without --bare");
+            }
+            List<BadDay> days = new ArrayList<>();
+            for (Path script : scripts) {
+                days.add(Script.read(script)); // all are read before any is played
+            }
+            boolean clean = true;
+            for (BadDay day : days) {
+                clean &= play(day);
+            }
+            return clean ? 0 : 1;
+        }
+
+        private boolean play(BadDay day) throws IOException {
+            Path recording = bare ? null : keep != null ? keep : Files.createTempFile("milletyoke-", ".recording");
+            try {
+                Play.Came came = Play.of(day, recording);
+                Audit.Report report = bare ? null : Audit.of(recording);
+                boolean kept = came.clean() && came.unfinished() == 0 && (bare || report.clean());
+                System.out.printf("%-32s service %.4f  digest %016x  %,d events in %.2f s, %,.0f a second  %s%n", day.name(),
+                        came.service().whole(), came.digest(), came.events(), came.wall() / 1e6,
+                        came.events() * 1e6 / came.wall(), bare ? "not audited" : kept ? "kept" : "NOT KEPT");
+                if (!brief) {
+                    System.out.print(came.service().text());
+                }
+                if (!bare && !(brief && kept)) {
+                    System.out.print(report.text(true));
+                }
+                return kept;
+            } finally {
+                if (keep == null && recording != null) {
+                    Files.deleteIfExists(recording);
+                }
+            }
+        }
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true,
+            description = "Plays an experiment on all cores; what its results hold already is not played again.")
+    static final class RunExperiment implements Callable<Integer> {
+        @Parameters(paramLabel = "EXPERIMENT", description = "A file in JSON5: the day, the arms, the values, the seeds.")
+        private Path file;
+
+        @Option(names = "--to", paramLabel = "FOLDER", required = true, description = "Results and report go here.")
+        private Path folder;
+
+        @Option(names = "--threads", paramLabel = "N", description = "Plays at once; usually one for each core.")
+        private int threads = Runtime.getRuntime().availableProcessors();
+
+        @Option(names = "--quiet", description = "No line after each play.")
+        private boolean quiet;
+
+        @Override
+        public Integer call() throws Exception {
+            Experiment experiment = Experiment.read(file);
+            Files.createDirectories(folder);
+            try (Results results = new Results(folder.resolve("results.jsonl"))) {
+                new Runner(experiment, results, Math.max(1, threads)).run(quiet ? line -> { } : System.err::println);
+                Path csv = results.writeCsv();
+                Report report = new Report(experiment.name(), experiment.axis(), results.rows(),
+                        experiment.arms().stream().map(Experiment.Arm::name).toList());
+                System.out.print(report.text());
+                System.out.println("report " + report.write(folder) + ", table " + csv);
+            }
+            return 0;
+        }
+    }
+
+    @Command(name = "report", mixinStandardHelpOptions = true,
+            description = "Makes the report of results again; several files are compared as if they were one experiment.")
+    static final class ShowReport implements Callable<Integer> {
+        @Parameters(arity = "1..*", paramLabel = "RESULTS", description = "Files of JSON lines.")
+        private List<Path> files;
+
+        @Option(names = "--to", paramLabel = "FOLDER", required = true, description = "The report goes here.")
+        private Path folder;
+
+        @Option(names = "--axis", paramLabel = "TEXT", description = "What the values are.")
+        private String axis = "value";
+
+        @Override
+        public Integer call() throws Exception {
+            List<Row> rows = new ArrayList<>();
+            for (Path file : files) {
+                String mark = files.size() == 1 ? "" : file.toAbsolutePath().getParent().getFileName() + ": ";
+                Results.read(file).forEach(r -> rows.add(new Row(mark + r.arm(), r.value(), r.seed(), r.service(),
+                        r.categories(), r.seconds(), r.p50(), r.p99(), r.evenness(), r.asked(), r.unfinished(), r.digest(),
+                        r.events(), r.wall())));
+            }
+            if (rows.isEmpty()) {
+                throw new IllegalArgumentException("there are no results in " + files);
+            }
+            Report report = new Report(String.join(", ", files.stream().map(f -> "" + f.getFileName()).toList()), axis, rows,
+                    List.of());
+            System.out.print(report.text());
+            System.out.println("report " + report.write(folder));
+            return 0;
+        }
+    }
+
+    @Command(name = "hunt", mixinStandardHelpOptions = true,
+            description = "Draws storms over a day and looks for the worst, then shrinks it; 1 where a rule was broken.")
+    static final class HuntStorms implements Callable<Integer> {
+        @Parameters(paramLabel = "SCRIPT", description = "The day whose troubles are replaced.")
+        private Path script;
+
+        @Option(names = "--storms", paramLabel = "N", description = "How many are played (${DEFAULT-VALUE}).")
+        private int storms = 100;
+
+        @Option(names = "--seed", paramLabel = "S", description = "Of the first storm (${DEFAULT-VALUE}).")
+        private long seed = 1;
+
+        @Option(names = "--troubles", paramLabel = "N", description = "At most in one storm (${DEFAULT-VALUE}).")
+        private int troubles = 5;
+
+        @Option(names = "--for", paramLabel = "WHAT", description = "${COMPLETION-CANDIDATES}: a broken rule, or the least service.")
+        private Hunt.Quarry quarry = Hunt.Quarry.RULES;
+
+        @Option(names = "--keep", paramLabel = "FILE", description = "The worst, shrunk, is kept here as a script.")
+        private Path keep;
+
+        @Option(names = "--threads", paramLabel = "N", description = "Plays at once; usually one for each core.")
+        private int threads = Runtime.getRuntime().availableProcessors();
+
+        @Override
+        public Integer call() throws Exception {
+            if (storms < 1 || troubles < 1) {
+                throw new IllegalArgumentException("at least one storm of one trouble is played");
+            }
+            Hunt hunt = new Hunt(Script.read(script), troubles, Math.max(1, threads));
+            List<Hunt.Catch> all = hunt.run(seed, storms, quarry);
+            all.stream().limit(5).forEach(c -> System.out.printf("%-40s service %.4f  %s%n", c.day().name(), c.service(),
+                    c.why()));
+            long broken = all.stream().filter(Hunt.Catch::broken).count();
+            System.out.printf("%d storms, %d of them broken, mean service %.4f%n", all.size(), broken,
+                    all.stream().mapToDouble(Hunt.Catch::service).average().orElse(0));
+            Hunt.Catch worst = all.get(0);
+            if (worst.broken() || quarry == Hunt.Quarry.SERVICE) {
+                Hunt.Catch small = hunt.shrink(worst, quarry);
+                String text = Hunt.script(Files.readString(script), small);
+                System.out.printf("shrunk to %d of %d troubles, service %.4f  %s%n%s", small.day().troubles().size(),
+                        worst.day().troubles().size(), small.service(), small.why(), keep == null ? text : "");
+                if (keep != null) {
+                    Files.writeString(keep, text);
+                }
+            }
+            return broken > 0 ? 1 : 0;
+        }
+    }
+}
--- a/cli/src/main/java/milletyoke/cli/Main.java
+++ b/cli/src/main/java/milletyoke/cli/Main.java
@@ -14,7 +14,7 @@
         description = "A storage gateway that schedules a host's reads and writes over storage nodes.",
         subcommands = {Demo.class, RunInitiator.class, RunTarget.class, RunDiscovery.class, RunLoad.class,
             Rehearse.class, Rates.class, RunAudit.class, Check.class, Ask.Status.class, Ask.Targets.class, Ask.Volumes.class,
-            Ask.Events.class, Ask.Drain.class, Ask.Undrain.class, MakeToken.class, Config.class},
+            Ask.Events.class, Ask.Drain.class, Ask.Undrain.class, MakeToken.class, Config.class, Lab.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:failed", "2:wrong use, or a file that cannot be used"})
 public final class Main implements Callable<Integer> {
--- /dev/null
+++ b/lab/src/main/java/milletyoke/lab/experiment/Experiment.java
@@ -0,0 +1,124 @@
+package milletyoke.lab.experiment;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import milletyoke.gateway.setup.Form;
+import milletyoke.gateway.setup.SetupError;
+import milletyoke.lab.policy.Scheduler;
+import milletyoke.rehearsal.script.BadDay;
+import milletyoke.rehearsal.script.Script;
+import milletyoke.rehearsal.script.ScriptError;
+
+/**
+ * What varies: arms, each a few statements of a script in place of the day's own, values that go into all arms, and seeds.
+ * Every arm plays every value with the same seeds, so that arms can be compared pair by pair.
+ *
+ * @param seeds plays of each arm and value
+ * @param values what stands for {@code {x}} in the statements; one empty text where nothing does
+ */
+public record Experiment(String name, Path day, int seeds, List<Arm> arms, List<String> values, String axis) {
+
+    /**
+     * One way.
+     *
+     * @param set statements that replace those of the day with the same first word (and name, for categories and plans);
+     *     {@code calm} takes all troubles away
+     */
+    public record Arm(String name, List<String> set, boolean straight, Scheduler scheduler) {}
+
+    /** One play that is to be made. */
+    public record Run(Arm arm, String value, int seed) {
+        public String key() {
+            return arm.name() + "|" + value + "|" + seed;
+        }
+    }
+
+    /** @throws SetupError that names file, line and field */
+    public static Experiment read(Path file) throws SetupError {
+        Form f = Form.read(file);
+        Path base = file.toAbsolutePath().getParent();
+        List<Arm> arms = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (Form a : f.forms("arms", true)) {
+            String name = a.text("name", null);
+            if (!names.add(name)) {
+                throw a.wrong("name", "\"" + name + "\" is the name of an arm already");
+            }
+            arms.add(new Arm(name, statements(a.text("set", "")), a.flag("straight", false),
+                    a.word("scheduler", Scheduler.class, Scheduler.MILLETYOKE)));
+            a.done();
+        }
+        Experiment made = new Experiment(f.text("name", null), base.resolve(f.text("day", null)),
+                f.whole("seeds", 10, 2, 10_000), List.copyOf(arms),
+                List.of(f.text("values", "").trim().split("\\s+")), f.text("axis", "value"));
+        f.done();
+        try {
+            for (Run run : made.runs()) {
+                if (run.seed() == 0) {
+                    made.dayOf(run); // every arm can be read before any is played
+                }
+            }
+        } catch (ScriptError | IOException wrong) {
+            throw f.wrong("arms", wrong.getMessage());
+        }
+        return made;
+    }
+
+    private static List<String> statements(String set) {
+        return set.isBlank() ? List.of() : java.util.Arrays.stream(set.split(";")).map(String::trim)
+                .filter(s -> !s.isEmpty()).toList();
+    }
+
+    /** All plays, in an order that is always the same. */
+    public List<Run> runs() {
+        List<Run> all = new ArrayList<>();
+        for (String value : values) {
+            for (Arm arm : arms) {
+                for (int seed = 0; seed < seeds; seed++) {
+                    all.add(new Run(arm, value, seed));
+                }
+            }
+        }
+        return all;
+    }
+
+    /** The day that a run plays. */
+    public BadDay dayOf(Run run) throws IOException, ScriptError {
+        String called = name + " " + run.arm().name() + (run.value().isEmpty() ? "" : " " + run.value());
+        List<String> set = run.arm().set().stream().map(s -> s.replace("{x}", run.value())).toList();
+        BadDay read = Script.read(day.getFileName() + " with arm " + run.arm().name(), called,
+                patched(Files.readString(day).lines().toList(), set));
+        return read.with(called, read.seed() + 7919L * run.seed(), set.contains("calm") ? List.of() : read.troubles());
+    }
+
+    private static String patched(List<String> lines, List<String> set) {
+        Map<String, String> by = new LinkedHashMap<>();
+        set.stream().filter(s -> !s.equals("calm")).forEach(s -> by.put(subject(s), s));
+        List<String> out = new ArrayList<>();
+        for (String line : lines) {
+            String bare = line.replaceAll("#.*", "").trim();
+            String other = bare.isEmpty() ? null : by.remove(subject(bare));
+            out.add(other == null ? bare : other);
+        }
+        out.addAll(by.values());
+        return out.stream().collect(Collectors.joining("\n"));
+    }
+
+    /** What a statement is about: its first word, with the name for what there may be several of. */
+    private static String subject(String statement) {
+        String[] words = statement.split("\\s+");
+        return switch (words[0]) {
+            case "category", "plan" -> words[0] + " " + (words.length > 1 ? words[1] : "");
+            case "at", "then" -> statement;
+            default -> words[0];
+        };
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/milletyoke/lab/experiment/Runner.java
@@ -0,0 +1,60 @@
+package milletyoke.lab.experiment;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ExecutorCompletionService;
+import java.util.function.Consumer;
+import milletyoke.lab.play.Play;
+import milletyoke.lab.world.LabWorld;
+import milletyoke.rehearsal.script.ScriptError;
+import milletyoke.standins.Service;
+
+/** Plays what an experiment asks for on so many threads; each play is one thread's, so their number changes no figure. */
+public final class Runner {
+    private final Experiment experiment;
+    private final Results results;
+    private final int threads;
+
+    public Runner(Experiment experiment, Results results, int threads) {
+        this.experiment = experiment;
+        this.results = results;
+        this.threads = threads;
+    }
+
+    /** Plays all that the results do not have yet. @param progress hears a line after each; @return plays made */
+    public int run(Consumer<String> progress) throws IOException, InterruptedException {
+        List<Experiment.Run> missing = experiment.runs().stream().filter(r -> !results.has(r.key())).toList();
+        ExecutorService workers = Executors.newFixedThreadPool(threads);
+        try {
+            ExecutorCompletionService<Row> plays = new ExecutorCompletionService<>(workers);
+            missing.forEach(run -> plays.submit(() -> play(run)));
+            for (int done = 1; done <= missing.size(); done++) {
+                Row row = plays.take().get();
+                results.add(row);
+                progress.accept(String.format("%d of %d: %s %s seed %d  service %.4f", done, missing.size(), row.arm(),
+                        row.value(), row.seed(), row.service()));
+            }
+            return missing.size();
+        } catch (ExecutionException failed) {
+            throw new IOException("a play failed: " + failed.getCause(), failed.getCause());
+        } finally {
+            workers.shutdownNow();
+        }
+    }
+
+    private Row play(Experiment.Run run) throws IOException, ScriptError {
+        Experiment.Arm arm = run.arm();
+        Play.Came came = Play.of(experiment.dayOf(run), null, arm.straight(), LabWorld.Physics.LOOPBACK, arm.scheduler());
+        Service s = came.service();
+        Map<String, Double> categories = new LinkedHashMap<>();
+        s.lines().forEach((name, line) -> categories.put(name, line.service()));
+        return new Row(arm.name(), run.value(), run.seed(), s.whole(), categories, came.seconds(),
+                s.times().getValueAtPercentile(50) / 1e3, s.times().getValueAtPercentile(99) / 1e3, s.evenness(),
+                s.askedInAll(), came.unfinished(), String.format("%016x", came.digest()), came.events(), came.wall());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/milletyoke/lab/storm/Hunt.java
@@ -0,0 +1,117 @@
+package milletyoke.lab.storm;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.Collectors;
+import milletyoke.lab.play.Play;
+import milletyoke.rehearsal.audit.Audit;
+import milletyoke.rehearsal.script.BadDay;
+
+/** Looks for the storm that breaks a rule, or costs most service, and shrinks it. */
+public final class Hunt {
+    /** What is looked for. */
+    public enum Quarry { RULES, SERVICE }
+
+    /**
+     * One storm played.
+     *
+     * @param broken a rule was broken, an access was left without its answer, or the play itself failed
+     * @param why of that, in a line; empty where nothing broke
+     */
+    public record Catch(BadDay day, double service, boolean broken, String why) {}
+
+    private final BadDay base;
+    private final int troubles;
+    private final int threads;
+
+    /** @param troubles at most in one storm */
+    public Hunt(BadDay base, int troubles, int threads) {
+        this.base = base;
+        this.troubles = troubles;
+        this.threads = threads;
+    }
+
+    /** All storms, the worst first; the same for any number of threads. */
+    public List<Catch> run(long firstSeed, int storms, Quarry quarry) throws InterruptedException, IOException {
+        ExecutorService workers = Executors.newFixedThreadPool(threads);
+        try {
+            List<Future<Catch>> plays = new ArrayList<>();
+            for (int n = 0; n < storms; n++) {
+                BadDay day = Storm.over(base, firstSeed + n, troubles);
+                plays.add(workers.submit(() -> play(day, quarry == Quarry.RULES)));
+            }
+            List<Catch> all = new ArrayList<>();
+            for (Future<Catch> play : plays) {
+                all.add(play.get());
+            }
+            all.sort(Comparator.comparing((Catch c) -> !c.broken()).thenComparingDouble(Catch::service)
+                    .thenComparing(c -> c.day().name()));
+            return all;
+        } catch (ExecutionException failed) {
+            throw new IOException("a storm could not be played", failed.getCause());
+        } finally {
+            workers.shutdownNow();
+        }
+    }
+
+    /** Plays a day and judges it. @param audited rules are looked at too, which costs a recording */
+    public static Catch play(BadDay day, boolean audited) {
+        Path recording = null;
+        try {
+            recording = audited ? Files.createTempFile("milletyoke-", ".recording") : null;
+            Play.Came came = Play.of(day, recording);
+            String why = came.unfinished() > 0 ? came.unfinished() + " without an answer" : !came.clean() ? "not left clean" : "";
+            if (audited && why.isEmpty()) {
+                Audit.Report report = Audit.of(recording);
+                why = report.clean() ? "" : report.text(false).lines().filter(l -> l.contains("BREACHES")).findFirst()
+                        .orElse("a rule was broken").strip();
+            }
+            return new Catch(day, came.service().whole(), !why.isEmpty(), why);
+        } catch (IOException failed) {
+            throw new UncheckedIOException(failed);
+        } catch (RuntimeException fault) {
+            return new Catch(day, 0, true, "the play failed: " + fault);
+        } finally {
+            delete(recording);
+        }
+    }
+
+    private static void delete(Path recording) {
+        try {
+            if (recording != null) {
+                Files.deleteIfExists(recording);
+            }
+        } catch (IOException left) {
+            recording.toFile().deleteOnExit();
+        }
+    }
+
+    /** The smallest day that still breaks, or that still costs nine tenths of what this one does. */
+    public Catch shrink(Catch found, Quarry quarry) {
+        double quiet = play(base.with(found.day().name(), found.day().seed(), List.of()), false).service();
+        double bar = quiet - 0.9 * (quiet - found.service());
+        Shrink shrink = new Shrink(day -> {
+            Catch next = play(day, quarry == Quarry.RULES);
+            return quarry == Quarry.RULES ? next.broken() : next.service() <= bar;
+        });
+        return play(shrink.smallest(found.day()), quarry == Quarry.RULES);
+    }
+
+    /** The day as a script: the base's own text with these troubles in place of its own. */
+    public static String script(String baseText, Catch found) {
+        String kept = baseText.lines().filter(l -> !l.strip().startsWith("at ") && !l.strip().startsWith("then ")
+                && !l.strip().startsWith("seed ") && !l.strip().startsWith("#")).collect(Collectors.joining("\n"));
+        String troubles = found.day().troubles().stream().map(TroubleText::of).collect(Collectors.joining("\n"));
+        String said = found.broken() ? found.why() : String.format("service %.4f in the lab", found.service());
+        return "# Found by a hunt: " + said + ".\nseed " + found.day().seed() + "\n" + kept.strip() + "\n" + troubles + "\n";
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/milletyoke/lab/storm/Shrink.java
@@ -0,0 +1,75 @@
+package milletyoke.lab.storm;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import milletyoke.rehearsal.script.BadDay;
+import milletyoke.rehearsal.script.BadDay.Selection;
+import milletyoke.rehearsal.script.BadDay.Trouble;
+
+/**
+ * Takes from a day what it does not need to be as bad: whole troubles first (delta debugging, Zeller and Hildebrandt, IEEE
+ * Transactions on Software Engineering 28(2), 2002, with one at a time), then half of how long and of how many.
+ */
+public final class Shrink {
+    private final Predicate<BadDay> stillBad;
+    private int plays;
+
+    /** @param stillBad plays the day; must say the same of the same day every time */
+    public Shrink(Predicate<BadDay> stillBad) {
+        this.stillBad = stillBad;
+    }
+
+    /** The smallest found; the day itself where nothing can go. */
+    public BadDay smallest(BadDay day) {
+        BadDay best = day;
+        for (BadDay next = less(best); next != null; next = less(best)) {
+            best = next;
+        }
+        return best;
+    }
+
+    /** How many days were played for it. */
+    public int plays() {
+        return plays;
+    }
+
+    private BadDay less(BadDay day) {
+        List<Trouble> all = day.troubles();
+        for (int n = 0; n < all.size() && all.size() > 1; n++) {
+            List<Trouble> fewer = new ArrayList<>(all);
+            fewer.remove(n);
+            if (bad(day, fewer)) {
+                return day.with(day.name(), day.seed(), fewer);
+            }
+        }
+        for (int n = 0; n < all.size(); n++) {
+            for (Trouble smaller : smaller(all.get(n))) {
+                List<Trouble> with = new ArrayList<>(all);
+                with.set(n, smaller);
+                if (bad(day, with)) {
+                    return day.with(day.name(), day.seed(), with);
+                }
+            }
+        }
+        return null;
+    }
+
+    private boolean bad(BadDay day, List<Trouble> troubles) {
+        plays++;
+        return stillBad.test(day.with(day.name(), day.seed(), troubles));
+    }
+
+    private static List<Trouble> smaller(Trouble t) {
+        List<Trouble> all = new ArrayList<>();
+        if (t.span() > 400_000) {
+            all.add(new Trouble(t.at(), t.line(), t.sort(), t.whom(), t.span() / 2000 * 1000, t.figure(), t.range(), t.every(),
+                    t.count(), t.down(), t.name()));
+        }
+        if (t.whom().part() > 0.2) {
+            all.add(new Trouble(t.at(), t.line(), t.sort(), new Selection(Math.rint(5 * t.whom().part()) / 10, 0), t.span(),
+                    t.figure(), t.range(), t.every(), t.count(), t.down(), t.name()));
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/milletyoke/lab/storm/Storm.java
@@ -0,0 +1,70 @@
+package milletyoke.lab.storm;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import milletyoke.rehearsal.script.BadDay;
+import milletyoke.rehearsal.script.BadDay.Selection;
+import milletyoke.rehearsal.script.BadDay.Sort;
+import milletyoke.rehearsal.script.BadDay.Trouble;
+
+/** Draws troubles for a day from a seed: some at once, some in a cascade, whatever the day itself had is left out. */
+public final class Storm {
+    private static final List<Sort> SORTS = List.of(Sort.HANG, Sort.SLOW, Sort.PAUSES, Sort.ERRORS, Sort.RESETS,
+            Sort.UNREACHABLE, Sort.RESTART, Sort.ROLL, Sort.DRAIN, Sort.AGE, Sort.LIST_LATE, Sort.LIST_PARTIAL,
+            Sort.LIST_FLAP, Sort.LIST_UNAVAILABLE, Sort.KILL, Sort.STILL, Sort.LEAVE, Sort.SURGE, Sort.HOTKEY,
+            Sort.RECONNECT, Sort.PARTITION, Sort.CLOCK);
+
+    private Storm() {
+    }
+
+    /**
+     * A day with other troubles.
+     *
+     * @param most troubles, at least one is drawn
+     */
+    public static BadDay over(BadDay base, long seed, int most) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        int count = 1 + chance.nextInt(most);
+        List<Trouble> all = new ArrayList<>();
+        long at = 0;
+        for (int n = 0; n < count; n++) {
+            boolean cascade = n > 0 && chance.nextInt(3) == 0; // soon after the one before
+            at = cascade ? at + 1000 * (1 + chance.nextLong(1500)) : 1000 * chance.nextLong(base.lasts() * 8 / 10_000);
+            all.add(trouble(chance, at, SORTS.get(chance.nextInt(SORTS.size())), base));
+        }
+        all.sort(Comparator.comparingLong(Trouble::at));
+        return base.with(base.name() + "-storm-" + Long.toUnsignedString(seed, 36), base.seed() + seed, all);
+    }
+
+    private static Trouble trouble(SplittableRandom c, long at, Sort sort, BadDay base) {
+        boolean initiator = switch (sort) {
+            case KILL, STILL, LEAVE, PARTITION -> true;
+            default -> false;
+        };
+        Selection whom = initiator ? new Selection(0, 1 + c.nextInt(base.initiators()))
+                : new Selection((1 + c.nextInt(8)) / 10.0, 0);
+        long span = 1000 * (500 + c.nextLong(Math.max(1, base.lasts() / 2000)));
+        double figure = switch (sort) {
+            case SLOW, AGE -> 2 + c.nextInt(7);
+            case ERRORS, HOTKEY, PARTITION -> (1 + c.nextInt(9)) / 10.0;
+            case SURGE -> (2 + c.nextInt(20)) / 10.0;
+            default -> 0;
+        };
+        long[] range = switch (sort) {
+            case PAUSES -> new long[] {100_000, 400_000};
+            case LIST_LATE -> new long[] {1_000_000, 1_000_000 + 1000 * c.nextLong(3_000)};
+            default -> new long[] {300_000, 300_000 + 1000 * c.nextLong(1_500)};
+        };
+        long every = switch (sort) {
+            case PARTITION -> c.nextInt(4);
+            default -> 1000 * (100 + c.nextLong(900));
+        };
+        if (sort == Sort.CLOCK) {
+            span = (c.nextBoolean() ? 1 : -1) * 1_000_000 * (1 + c.nextLong(30));
+        }
+        int count = sort == Sort.SURGE ? 1 + c.nextInt(4) : 0;
+        return new Trouble(at, 0, sort, whom, span, figure, range, every, count, 300_000, "");
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/milletyoke/lab/LabTest.java
@@ -0,0 +1,168 @@
+package milletyoke.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import milletyoke.gateway.Initiator;
+import milletyoke.gateway.setup.Address;
+import milletyoke.gateway.setup.Deployment;
+import milletyoke.gateway.setup.Form;
+import milletyoke.gateway.setup.Setup;
+import milletyoke.lab.play.Play;
+import milletyoke.lab.policy.Scheduler;
+import milletyoke.lab.world.LabWorld;
+import milletyoke.rehearsal.audit.Audit;
+import milletyoke.rehearsal.script.BadDay;
+import milletyoke.rehearsal.script.Script;
+import milletyoke.standins.Discovery;
+import milletyoke.wire.Bounds;
+import milletyoke.wire.Peer;
+import milletyoke.wire.PeerHandler;
+import milletyoke.wire.Tap;
+import milletyoke.wire.proto.Access;
+import milletyoke.wire.proto.Frame;
+import milletyoke.wire.proto.Role;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The product in virtual time: the rules on days that the rehearsal plays too, the hard cases, and repeatability. */
+class LabTest {
+    private static final Path REHEARSALS = Path.of("../rehearsal/days"), OWN = Path.of("days");
+
+    @TempDir
+    Path folder;
+
+    static Stream<Path> ownDays() throws Exception {
+        try (Stream<Path> all = Files.list(OWN)) {
+            return all.filter(f -> f.toString().endsWith(".day")).sorted().toList().stream();
+        }
+    }
+
+    private Audit.Report kept(BadDay day) throws Exception {
+        Path recording = folder.resolve("recording");
+        Play.Came came = Play.of(day, recording);
+        Audit.Report report = Audit.of(recording);
+        assertTrue(report.clean(), () -> day.name() + "\n" + report.text(true));
+        assertEquals(0, came.unfinished(), "every access has its answer");
+        assertTrue(came.clean(), "every initiator left with nothing unanswered");
+        return report;
+    }
+
+    @ParameterizedTest
+    @MethodSource("ownDays")
+    void hardCasesKeepEveryRule(Path script) throws Exception {
+        assertTrue(kept(Script.read(script)).rule(1).tested() > 500, "hardly anything was asked");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"all-rules", "hang", "leave", "limits-change", "list-unavailable", "mass-restart-stamped",
+        "initiators-killed-cold", "overlap-list-roll-burst", "still"})
+    void aRehearsalPlaysHereToo(String name) throws Exception {
+        kept(Script.read(REHEARSALS.resolve(name + ".day")));
+    }
+
+    @Test
+    void theAuditSeesTheRulesTestedHereAsOnSockets() throws Exception {
+        Audit.Report report = kept(Script.read(REHEARSALS.resolve("all-rules.day")));
+        for (int rule = 1; rule <= 7; rule++) {
+            assertTrue(report.rule(rule).tested() > 0, "rule " + rule + " was not put to the test");
+        }
+    }
+
+    /** Repeatable, also with others beside it; another seed is another day. */
+    @Test
+    void theSameSeedPlaysTheSameOnAnyNumberOfThreads() throws Exception {
+        BadDay day = Script.read(REHEARSALS.resolve("overlap-hang-restart-kill.day"));
+        Play.Came alone = Play.of(day, null);
+        for (int threads : new int[] {2, 6}) {
+            ExecutorService workers = Executors.newFixedThreadPool(threads);
+            List<Future<Play.Came>> plays = IntStream.range(0, 6).mapToObj(n -> workers.submit(() -> Play.of(day, null))).toList();
+            for (Future<Play.Came> play : plays) {
+                assertEquals(alone.digest(), play.get().digest());
+                assertEquals(alone.service().text(), play.get().service().text());
+            }
+            workers.shutdown();
+        }
+        assertNotEquals(alone.digest(), Play.of(day.with("other", day.seed() + 1, day.troubles()), null).digest());
+    }
+
+    @Test
+    void aGreyPartitionHurtsWhomItCutsOffAndNobodyElse() throws Exception {
+        BadDay cut = Script.read(OWN.resolve("grey-partition.day"));
+        double quiet = Play.of(cut.with(cut.name(), cut.seed(), List.of()), null).service().whole();
+        double grey = Play.of(cut, null).service().whole();
+        assertTrue(quiet - grey > 0.005, "it costs something: " + quiet + ", " + grey);
+        assertTrue(quiet - grey < 0.15, "a third of accesses at half of the targets for a fifth of the time is a thirtieth: "
+                + quiet + ", " + grey);
+    }
+
+    @Test
+    void plainPoliciesAnswerEverythingInTime() throws Exception {
+        BadDay day = Script.read(REHEARSALS.resolve("slow.day"));
+        for (Scheduler scheduler : List.of(Scheduler.AT_ONCE, Scheduler.FAIR_ROUNDS)) {
+            Path recording = folder.resolve("recording");
+            Play.Came came = Play.of(day, recording, false, LabWorld.Physics.LOOPBACK, scheduler);
+            Audit.Report report = Audit.of(recording);
+            for (int rule : new int[] {1, 2, 7}) {
+                assertEquals(0, report.rule(rule).breaches(), () -> scheduler + "\n" + report.text(true));
+            }
+            assertEquals(0, came.unfinished());
+        }
+    }
+
+    /** A loop that took more than one turn's part at once dropped what stood next in its queue. */
+    @Test
+    void aFloodOfOneMomentLosesNothing() throws Exception {
+        LabWorld world = new LabWorld(5, LabWorld.Physics.LOOPBACK);
+        Discovery discovery = new Discovery(0, 1, world.clockwork("discovery", 1), Tap.NONE, world);
+        Deployment deployment = Deployment.read(Form.of("test", "{initiators: 1, categories: [{name: \"read\", repeats:"
+                + " \"harmless\", agreedTime: \"400 ms\"}], plans: [{name: \"basic\"}], bounds: {answerSlack: \"100 ms\"}}"));
+        Initiator initiator = Initiator.start(new Setup("i", 1, new Address("127.0.0.1", 0),
+                new Address("127.0.0.1", discovery.port()), null, deployment,
+                new Setup.Transport(200_000, 30_000_000, 2, 100, 250_000, 65_536, 8 << 20, 5_000_000, 2),
+                new Setup.Room(10_000, 1 << 14, 100, 1e6, 3_600_000_000L), null, null), Tap.NONE, world, 1, null);
+        discovery.learn(milletyoke.wire.proto.Target.newBuilder().setId("t").setShard(0)
+                .setHealth(milletyoke.wire.proto.Health.ON).setHost("127.0.0.1").setPort(1).build());
+        Map<Long, Integer> answers = new HashMap<>();
+        Peer[] client = new Peer[1];
+        world.net("client", 1, Tap.NONE).connect("127.0.0.1", initiator.port(), Role.CLIENT, new PeerHandler() {
+            @Override
+            public void ready(Peer peer) {
+                client[0] = peer;
+            }
+
+            @Override
+            public void got(Peer peer, Frame frame) {
+                answers.merge(frame.getAnswer().getNumber(), 1, Integer::sum);
+            }
+
+            @Override
+            public void closed(Peer peer, String why) {
+            }
+        }, new Bounds(65_536, 64 << 20, 5_000_000, 0), why -> { });
+        world.sleep(1_000_000);
+        for (long n = 1; n <= 3_000; n++) { // all arrive within the time of one turn
+            client[0].post(Frame.newBuilder().setAccess(Access.newBuilder().setNumber(n).setShard(0).setVolume("v" + n % 7)
+                    .setPlan("basic").setCategory("read").setHosts(1).setUnits(1).setTimeLeft(500_000)).build());
+        }
+        client[0].flush();
+        world.sleep(2_000_000);
+        assertEquals(3_000, answers.size());
+        assertTrue(answers.values().stream().allMatch(n -> n == 1));
+        initiator.kill();
+    }
+}
