--- a/cli/src/main/java/milletyoke/cli/Lab.java
+++ b/cli/src/main/java/milletyoke/cli/Lab.java
@@ -12,6 +12,7 @@
 import milletyoke.lab.experiment.Runner;
 import milletyoke.lab.play.Play;
 import milletyoke.lab.report.Report;
+import milletyoke.lab.world.LabWorld;
 import milletyoke.lab.storm.Hunt;
 import milletyoke.rehearsal.Stage;
 import milletyoke.rehearsal.audit.Audit;
@@ -208,8 +209,9 @@
         @Parameters(arity = "1..*", paramLabel = "SCRIPT", description = "Scripts of bad days that sockets can play.")
         private List<Path> scripts;
 
-        @Option(names = "--seeds", paramLabel = "N", description = "Plays of the lab, each with another seed (${DEFAULT-VALUE}).")
-        private int seeds = 5;
+        @Option(names = "--turns", paramLabel = "N", description = "Plays of the same day in the lab, in which frames travel"
+                + " otherwise (${DEFAULT-VALUE}).")
+        private int turns = 5;
 
         @Option(names = "--allowed", paramLabel = "POINTS", description = "Of a hundred, per category (${DEFAULT-VALUE}).")
         private double allowed = 5;
@@ -225,8 +227,8 @@
                     sockets = stage.play(line -> { }).service();
                 }
                 List<Service> plays = new ArrayList<>();
-                for (int n = 0; n < Math.max(1, seeds); n++) {
-                    plays.add(Play.of(day.with(day.name(), day.seed() + n, day.troubles()), null).service());
+                for (int n = 0; n < Math.max(1, turns); n++) {
+                    plays.add(Play.of(day, null, false, LabWorld.Physics.LOOPBACK, null, n).service());
                 }
                 for (String category : sockets.lines().keySet()) {
                     double here = 100 * sockets.line(category).service();
--- a/lab/src/main/java/milletyoke/lab/play/Play.java
+++ b/lab/src/main/java/milletyoke/lab/play/Play.java
@@ -39,10 +39,15 @@
      * @param instead of the product's decisions; null for these
      */
     public static Came of(BadDay day, Path recording, boolean straight, LabWorld.Physics physics,
-            Supplier<Decisions> instead)
-            throws IOException {
+            Supplier<Decisions> instead) throws IOException {
+        return of(day, recording, straight, physics, instead, 0);
+    }
+
+    /** @param turn another one is the same day with the same draws, and frames travel otherwise, as no play on sockets is the next */
+    public static Came of(BadDay day, Path recording, boolean straight, LabWorld.Physics physics,
+            Supplier<Decisions> instead, long turn) throws IOException {
         long began = System.nanoTime();
-        LabWorld world = new LabWorld(day.seed() ^ 0x6C6162L, physics);
+        LabWorld world = new LabWorld((day.seed() ^ 0x6C6162L) + 31 * turn, physics);
         try (Stage stage = new Stage(day, recording, straight, null, world, instead)) {
             List<Double> seconds = new ArrayList<>();
             Stage.Played played = stage.play(service -> seconds.add(service.whole()), () -> { });
