--- a/lab/src/main/java/milletyoke/lab/storm/Storm.java
+++ b/lab/src/main/java/milletyoke/lab/storm/Storm.java
@@ -11,7 +11,7 @@
 
 /** Draws troubles for a day from a seed: some at once, some in a cascade, whatever the day itself had is left out. */
 public final class Storm {
-    private static final List<Sort> SORTS = List.of(Sort.HANG, Sort.SLOW, Sort.PAUSES, Sort.ERRORS, Sort.RESETS,
+    private static final List<Sort> SORTS = List.of(Sort.HANG, Sort.SLOW, Sort.PAUSES, Sort.ERRORS, Sort.LOST, Sort.RESETS,
             Sort.UNREACHABLE, Sort.RESTART, Sort.ROLL, Sort.DRAIN, Sort.AGE, Sort.LIST_LATE, Sort.LIST_PARTIAL,
             Sort.LIST_FLAP, Sort.LIST_UNAVAILABLE, Sort.KILL, Sort.STILL, Sort.LEAVE, Sort.SURGE, Sort.HOTKEY,
             Sort.RECONNECT, Sort.PARTITION, Sort.CLOCK);
@@ -48,7 +48,7 @@
         long span = 1000 * (500 + c.nextLong(Math.max(1, base.lasts() / 2000)));
         double figure = switch (sort) {
             case SLOW, AGE -> 2 + c.nextInt(7);
-            case ERRORS, HOTKEY, PARTITION -> (1 + c.nextInt(9)) / 10.0;
+            case ERRORS, LOST, HOTKEY, PARTITION -> (1 + c.nextInt(9)) / 10.0;
             case SURGE -> (2 + c.nextInt(20)) / 10.0;
             default -> 0;
         };
--- a/lab/src/main/java/milletyoke/lab/storm/TroubleText.java
+++ b/lab/src/main/java/milletyoke/lab/storm/TroubleText.java
@@ -17,7 +17,7 @@
             case HANG, UNREACHABLE, DRAIN, STILL -> name(t) + " " + whom + span;
             case SLOW -> "slow " + whom + " by=" + t.figure() + span;
             case PAUSES -> "pauses " + whom + " of=" + times(t.range()) + " every=" + time(t.every()) + span;
-            case ERRORS -> "errors " + whom + " part=" + percent(t.figure()) + span;
+            case ERRORS, LOST -> name(t) + " " + whom + " part=" + percent(t.figure()) + span;
             case RESETS -> "resets " + whom + " every=" + time(t.every()) + span;
             case RESTART -> "restart " + whom + " down=" + times(t.range());
             case ROLL -> "roll " + whom + " over=" + time(t.span()) + " down=" + time(t.down());
--- a/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -432,6 +432,7 @@
             case SLOW -> span(t, x -> x.slow(t.figure()), x -> x.slow(1));
             case PAUSES -> span(t, x -> x.pauses(t.every(), t.range()[0], t.range()[1]), x -> x.pauses(0, 0, 0));
             case ERRORS -> span(t, x -> x.errors(t.figure()), x -> x.errors(0));
+            case LOST -> span(t, x -> x.loses(t.figure()), x -> x.loses(0));
             case RESETS -> {
                 List<Target> whom = struckTargets(t);
                 for (long in = 0; in < t.span(); in += t.every()) {
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
@@ -53,7 +53,7 @@
     public record Selection(double part, int number) {}
 
     public enum Sort {
-        HANG, SLOW, PAUSES, ERRORS, RESETS, UNREACHABLE, RESTART, ROLL, DRAIN, AGE, LIST_LATE, LIST_PARTIAL,
+        HANG, SLOW, PAUSES, ERRORS, LOST, RESETS, UNREACHABLE, RESTART, ROLL, DRAIN, AGE, LIST_LATE, LIST_PARTIAL,
         LIST_UNAVAILABLE, LIST_FLAP, KILL, STILL, LEAVE, SURGE, HOTKEY, RECONNECT, LIMIT, PARTITION, CLOCK;
 
         /** Whether only the lab can play it. */
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
@@ -255,8 +255,8 @@
                 every = w.time("every", "2s");
                 span = w.time("for", null);
             }
-            case "errors" -> {
-                sort = Sort.ERRORS;
+            case "errors", "lost" -> {
+                sort = verb.equals("errors") ? Sort.ERRORS : Sort.LOST;
                 whom = whom(w);
                 figure = w.part("part", "60%");
                 span = w.time("for", null);
--- a/standins/src/main/java/milletyoke/standins/Target.java
+++ b/standins/src/main/java/milletyoke/standins/Target.java
@@ -65,6 +65,7 @@
     private volatile boolean refuses;
     private volatile double slow = 1;
     private volatile double errors;
+    private volatile double loses;
     private volatile long pauseEvery, pauseLeast, pauseMost;
 
     private record Job(Peer peer, Relay relay, long came, int life) {}
@@ -196,6 +197,11 @@
         errors = part;
     }
 
+    /** Never answers this part of what it gets; half of those were run. */
+    public void loses(double part) {
+        loses = part;
+    }
+
     /** Stands still now and then; 0 ends it. Times are microseconds. */
     public synchronized void pauses(long every, long least, long most) {
         boolean was = pauseEvery > 0;
@@ -301,6 +307,12 @@
             }
             return Outcome.ERROR;
         }
+        if (loses > 0 && chance.nextDouble() < loses) {
+            if (chance.nextBoolean()) {
+                effect(relay, now);
+            }
+            return null;
+        }
         Job job = new Job(peer, relay, now, life);
         if (running.size() < nature.cores()) {
             begin(job, now);
