Captured traffic is asked again; a refused connection tells that nothing was taken

Need: experiments on real load; and the lab's first large play broke off 59 of 100 one-shot accesses: targets with too many connections took the relay, said goodbye, and the relay counted as unsure. Bye.nothing_taken: a target says that it looked at nothing on a connection, and such a relay is NO_CONNECTION; not believed where it has answered there. The audit knows it too. Replay asks every captured access, by category.

--- a/cli/src/main/java/milletyoke/cli/Rehearse.java
+++ b/cli/src/main/java/milletyoke/cli/Rehearse.java
@@ -33,11 +33,18 @@
             + " stream; the same day is played without them for comparison.")
     private int viewers;
 
+    @Option(names = "--capture", paramLabel = "FOLDER", description = "Keep each initiator's traffic there, for replay (one"
+            + " script only).")
+    private Path capture;
+
     @Option(names = "--quiet", description = "No line every second.")
     private boolean quiet;
 
     @Override
     public Integer call() throws Exception {
+        if (capture != null && (scripts.size() > 1 || viewers > 0)) {
+            throw new IllegalArgumentException("--capture takes one script, without --viewers");
+        }
         if (keep != null && scripts.size() > 1) {
             throw new IllegalArgumentException("--record takes one script, not " + scripts.size());
         }
@@ -78,6 +85,9 @@
 
     private Stage.Played bare(BadDay day, Path recording) throws IOException, InterruptedException {
         try (Stage stage = new Stage(day, recording, false)) {
+            if (capture != null) {
+                stage.capture(capture);
+            }
             return stage.play(quiet ? line -> { } : System.out::println);
         }
     }
--- a/cli/src/main/java/milletyoke/cli/RunInitiator.java
+++ b/cli/src/main/java/milletyoke/cli/RunInitiator.java
@@ -20,6 +20,10 @@
     @Option(names = "--record", paramLabel = "FILE", description = "Record what its sockets see, for the audit.")
     private Path record;
 
+    @Option(names = "--capture", paramLabel = "FILE", description = "Keep the traffic that comes in, for replay in a"
+            + " rehearsal or the lab; a new file.")
+    private Path capture;
+
     @Option(names = "--leave-time", paramLabel = "SECONDS", defaultValue = "30",
             description = "The longest to wait for what is held (${DEFAULT-VALUE}).")
     private int leaveTime;
@@ -32,6 +36,9 @@
             recorder.note(setup.name(), Note.Kind.UP, "initiator", 0);
         }
         Initiator initiator = Initiator.start(setup, recorder == null ? Tap.NONE : recorder.tap(setup.name()));
+        if (capture != null) {
+            initiator.capture(capture);
+        }
         System.out.println(setup.name() + " takes accesses at port " + initiator.port());
         CountDownLatch left = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/cli/src/main/java/milletyoke/cli/RunLoad.java
+++ b/cli/src/main/java/milletyoke/cli/RunLoad.java
@@ -57,7 +57,7 @@
         List<Demand.Volume> volumes = given.plans().stream().map(p -> new Demand.Volume("load-" + p.name(), p.name(),
                 1.0 / given.plans().size(), all, doors)).toList();
         Demand demand = new Demand(rate, kinds, volumes, 1, 100_000, 0, 1, 1, 0, setup.deployment().answerSlack(),
-                0, 0);
+                0, 0, List.of());
         Clients clients = new Clients(demand, false, System.nanoTime(), Executors.newScheduledThreadPool(2), Tap.NONE);
         for (String text : initiators) {
             Address at = Address.of(text);
--- a/gateway/src/main/java/milletyoke/gateway/Initiator.java
+++ b/gateway/src/main/java/milletyoke/gateway/Initiator.java
@@ -1,6 +1,7 @@
 package milletyoke.gateway;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,7 @@
 import milletyoke.wire.Sockets;
 import milletyoke.wire.Tap;
 import milletyoke.wire.World;
+import milletyoke.wire.capture.CaptureWriter;
 import milletyoke.wire.proto.Access;
 import milletyoke.wire.proto.Frame;
 import milletyoke.wire.proto.Role;
@@ -60,6 +62,7 @@
     private final Bounds toTargets;
     private final Following following;
     private Console console;
+    private CaptureWriter capture;
 
     private Initiator(Setup setup, Tap tap, World world, Supplier<Decisions> instead) throws IOException {
         this.setup = setup;
@@ -142,6 +145,40 @@
         return listener.port();
     }
 
+    /**
+     * Keeps what comes in from now on, taken or not, for replay. The daemon is not held up by it: what a slow disk cannot
+     * take is left out and counted in the file.
+     *
+     * @throws IOException where the file cannot be made, or is there already
+     */
+    public synchronized void capture(Path file) throws IOException {
+        CaptureWriter writer = new CaptureWriter(file, setup.name(), world.micros());
+        capture = writer;
+        ingress.capture(writer);
+        side.scheduleWithFixedDelay(() -> flush(writer), 500, 500, TimeUnit.MILLISECONDS);
+    }
+
+    private void flush(CaptureWriter writer) {
+        try {
+            writer.flush();
+        } catch (IOException failed) {
+            LOG.warn("the capture of traffic ends here: {}", failed.toString());
+            ingress.capture(null);
+        }
+    }
+
+    private synchronized void endCapture() {
+        if (capture != null) {
+            ingress.capture(null);
+            try {
+                capture.close();
+            } catch (IOException failed) {
+                LOG.warn("the last of the captured traffic could not be written: {}", failed.toString());
+            }
+            capture = null;
+        }
+    }
+
     /** Where the console listens; 0 where there is none. */
     public int consolePort() {
         return console == null ? 0 : console.port();
@@ -195,6 +232,7 @@
     }
 
     private boolean end(boolean clean) {
+        endCapture();
         loop.kill();
         subscription.stop();
         if (console != null) {
@@ -295,7 +333,7 @@
         public void closed(Peer peer, String why) {
             LOG.debug("link to {} is gone: {}", target, why);
             faults.closed("target " + target, peer);
-            loop.tell(ready ? new Told.LinkLost(target, peer, why) : new Told.DialFailed(target, dial, why));
+            loop.tell(ready ? new Told.LinkLost(target, peer, why, peer.tookNothing()) : new Told.DialFailed(target, dial, why));
         }
     }
 }
--- a/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
@@ -17,6 +17,7 @@
 import milletyoke.wire.Peer;
 import milletyoke.wire.PeerHandler;
 import milletyoke.wire.World;
+import milletyoke.wire.capture.CaptureWriter;
 import milletyoke.wire.proto.Access;
 import milletyoke.wire.proto.Answer;
 import milletyoke.wire.proto.Final;
@@ -43,6 +44,7 @@
     private final Faults faults;
     private volatile boolean leaving;
     private volatile Fleet fleet;
+    private volatile CaptureWriter capture;
     private final Set<Peer> clients = ConcurrentHashMap.newKeySet();
 
     public Ingress(Setup setup, World world, Loop loop, Counts counts, Gate gate, Faults faults) {
@@ -74,6 +76,11 @@
         plans = given.plans().stream().map(Provisioning.Plan::name).collect(Collectors.toSet());
     }
 
+    /** What comes in is kept there too, taken or not; null for no more. */
+    public void capture(CaptureWriter to) {
+        capture = to;
+    }
+
     /** From now on nothing new is taken, and every client is asked to close once it has its answers. */
     public void leave() {
         leaving = true;
@@ -109,7 +116,13 @@
     @Override
     public void got(Peer peer, Frame frame) throws BadFrame {
         switch (frame.getBodyCase()) {
-            case ACCESS -> access(peer, configured(frame.getAccess()));
+            case ACCESS -> {
+                CaptureWriter to = capture;
+                if (to != null) {
+                    to.came(world.micros(), frame.getAccess());
+                }
+                access(peer, configured(frame.getAccess()));
+            }
             case LEAVE -> loop.tell(new Told.Left(peer, frame.getLeave().getNumber()));
             default -> throw new BadFrame("a client sends accesses and leaves, not " + frame.getBodyCase());
         }
--- a/gateway/src/main/java/milletyoke/gateway/link/Links.java
+++ b/gateway/src/main/java/milletyoke/gateway/link/Links.java
@@ -74,6 +74,8 @@
         final Line line;
         final Map<Long, Out> outs = new LinkedHashMap<>();
         long lastUse;
+        /** A reply came on it. */
+        boolean heard;
 
         Conn(String target, Line line) {
             this.target = target;
@@ -222,7 +224,14 @@
         }
     }
 
-    public void lost(long time, String target, Line line) {
+    /**
+     * A connection ended.
+     *
+     * @param refused the target said that it took nothing of what was sent there. Guards one-shot accesses that were handed
+     *     to a connection over the target's bound, which were broken off as unsure. Could do harm where a target says so of
+     *     a connection on which it has answered, so that is not believed.
+     */
+    public void lost(long time, String target, Line line, boolean refused) {
         now = time;
         Conn conn = conns.remove(line);
         if (conn == null) {
@@ -233,7 +242,8 @@
         if (!conn.outs.isEmpty()) {
             counts.add(Count.CONNECTIONS_LOST);
         }
-        new ArrayList<>(conn.outs.values()).forEach(out -> end(out, Outcome.RESET, null, null));
+        Outcome became = refused && !conn.heard ? Outcome.NO_CONNECTION : Outcome.RESET;
+        new ArrayList<>(conn.outs.values()).forEach(out -> end(out, became, null, null));
     }
 
     /** Drops a reply to what is no longer out: given up, cancelled, or answered already. */
@@ -241,6 +251,9 @@
         now = time;
         Conn conn = conns.get(line);
         Out out = conn == null ? null : conn.outs.get(reply.getNumber());
+        if (conn != null) {
+            conn.heard = true;
+        }
         if (out == null || out.isProbe()) {
             counts.add(Count.LATE_REPLIES);
             return;
@@ -263,6 +276,9 @@
         now = time;
         Conn conn = conns.get(line);
         Out out = conn == null ? null : conn.outs.get(number);
+        if (conn != null) {
+            conn.heard = true;
+        }
         if (out == null || !out.isProbe()) {
             counts.add(Count.LATE_REPLIES);
             return;
--- a/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
@@ -433,7 +433,7 @@
         } else if (told instanceof Told.DialFailed t) {
             links.dialFailed(now, t.target(), t.dial(), t.why());
         } else if (told instanceof Told.LinkLost t) {
-            links.lost(now, t.target(), t.line());
+            links.lost(now, t.target(), t.line(), t.refused());
         } else if (told instanceof Told.Replied t) {
             links.replied(now, t.line(), t.reply());
         } else if (told instanceof Told.ProbeReplied t) {
--- a/gateway/src/main/java/milletyoke/gateway/loop/Told.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Told.java
@@ -21,7 +21,8 @@
 
     record DialFailed(String target, long dial, String why) implements Told {}
 
-    record LinkLost(String target, Line line, String why) implements Told {}
+    /** @param refused the target said that it took nothing of what was sent there */
+    record LinkLost(String target, Line line, String why, boolean refused) implements Told {}
 
     record Replied(Line line, Reply reply) implements Told {}
 
--- a/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
@@ -173,12 +173,30 @@
         Fake line = up(10, lastDial());
         line.refuses = true; // known to be closed, though nobody was told yet
         relay(11, "unsent");
-        links.lost(20, "a", line);
+        links.lost(20, "a", line, false);
         assertEquals(Map.of("sent", Outcome.RESET), ended);
         up(30, lastDial());
         assertEquals("unsent", lines.get(1).sent.get(0).getRelay().getId());
     }
 
+    /** A target over its bound of connections refuses one as it comes: what was handed to it never ran. */
+    @Test
+    void refusedConnectionNeverRanWhatWasSentUnlessItHadAnswered() {
+        links.listed("a", new Address("h", 1));
+        relay(0, "never ran");
+        Fake line = up(10, lastDial());
+        links.lost(20, "a", line, true);
+        assertEquals(Map.of("never ran", Outcome.NO_CONNECTION), ended);
+        ended.clear();
+        relay(30, "answered");
+        relay(31, "unsure");
+        Fake other = up(40, lastDial());
+        links.replied(50, other, Reply.newBuilder().setNumber(other.sent.get(0).getRelay().getNumber())
+                .setOutcome(milletyoke.wire.proto.Outcome.SUCCEEDED).build());
+        links.lost(60, "a", other, true);
+        assertEquals(Map.of("answered", Outcome.SUCCEEDED, "unsure", Outcome.RESET), ended);
+    }
+
     @Test
     void connectionsAndStreamsAreBounded() {
         links.listed("a", new Address("h", 1));
@@ -260,7 +278,7 @@
                 case 7 -> {
                     if (line != null && chance.nextInt(4) == 0) {
                         line.open = false;
-                        links.lost(now, "a", line);
+                        links.lost(now, "a", line, false);
                     }
                 }
                 default -> links.look(now);
--- a/lab/src/test/java/milletyoke/lab/LabTest.java
+++ b/lab/src/test/java/milletyoke/lab/LabTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -22,6 +24,7 @@
 import milletyoke.lab.play.Play;
 import milletyoke.lab.policy.Scheduler;
 import milletyoke.lab.world.LabWorld;
+import milletyoke.rehearsal.Stage;
 import milletyoke.rehearsal.audit.Audit;
 import milletyoke.rehearsal.script.BadDay;
 import milletyoke.rehearsal.script.Script;
@@ -30,6 +33,7 @@
 import milletyoke.wire.Peer;
 import milletyoke.wire.PeerHandler;
 import milletyoke.wire.Tap;
+import milletyoke.wire.capture.Traffic;
 import milletyoke.wire.proto.Access;
 import milletyoke.wire.proto.Frame;
 import milletyoke.wire.proto.Role;
@@ -124,6 +128,37 @@
         }
     }
 
+    /** Traffic as it came in at three initiators is asked again, access by access, also at another speed. */
+    @Test
+    void capturedTrafficIsAskedAgain() throws Exception {
+        BadDay day = Script.read(REHEARSALS.resolve("slow.day"));
+        long firstTries;
+        try (Stage stage = new Stage(day, null, false, null, new LabWorld(3, LabWorld.Physics.LOOPBACK), null)) {
+            stage.capture(folder.resolve("traffic"));
+            firstTries = stage.play(s -> { }).service().askedInAll();
+        }
+        Map<String, Integer> came = new HashMap<>();
+        for (int i = 1; i <= 3; i++) {
+            Traffic traffic = Traffic.read(folder.resolve("traffic/initiator-" + i + ".traffic"));
+            assertTrue(traffic.whole());
+            traffic.accesses().forEach(a -> came.merge(a.category(), 1, Integer::sum));
+        }
+        int all = came.values().stream().mapToInt(n -> n).sum();
+        assertTrue(all >= firstTries && all < 1.3 * firstTries, "further tries are traffic too: " + all + ", " + firstTries);
+        String text = Files.readString(REHEARSALS.resolve("slow.day")).replaceAll("(?m)^load .*$",
+                "load traffic=traffic/initiator-1.traffic,traffic/initiator-2.traffic,traffic/initiator-3.traffic retries=0").replaceAll("(?m)^lasts .*$", "lasts 14s");
+        for (String speed : List.of("", " speed=2")) {
+            BadDay again = Script.read(folder.resolve("again.day").toString(), "again", text.replace("retries=0", "retries=0"
+                    + speed));
+            Play.Came replayed = Play.of(again, null);
+            came.forEach((category, n) -> assertEquals(n.longValue(), replayed.service().line(category).asked));
+            assertEquals(0, replayed.unfinished());
+        }
+        BadDay small = Script.read(folder.resolve("again.day").toString(), "again", text.replaceAll("(?m)^targets 8 ",
+                "targets 2 "));
+        assertTrue(assertThrows(IOException.class, () -> Play.of(small, null)).getMessage().contains("wants shard"));
+    }
+
     /** A loop that took more than one turn's part at once dropped what stood next in its queue. */
     @Test
     void aFloodOfOneMomentLosesNothing() throws Exception {
--- a/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -252,7 +252,7 @@
     }
 
     /** Volumes of each plan, with data on one to four targets and a leading initiator each, drawn from the seed. */
-    private Demand demand() {
+    private Demand demand() throws IOException {
         SplittableRandom draw = new SplittableRandom(day.seed());
         List<Demand.Kind> kinds = new ArrayList<>();
         double shares = day.kinds().stream().mapToDouble(BadDay.Kind::share).sum();
@@ -275,8 +275,10 @@
             }
         }
         BadDay.Load l = day.load();
+        List<Demand.Traced> trace = l.traffic().isEmpty() ? List.of()
+                : Trace.of(day, kinds, all, volumes);
         return new Demand(l.rate(), kinds, all, l.retries(), l.retryWait(), l.impatient(), l.littleTime()[0],
-                l.littleTime()[1], l.vanish(), day.bounds().answerSlack(), l.closed(), l.think());
+                l.littleTime()[1], l.vanish(), day.bounds().answerSlack(), l.closed(), l.think(), trace);
     }
 
     private static int[] some(SplittableRandom draw, int of, int most) {
@@ -324,6 +326,14 @@
         return initiators[i];
     }
 
+    /** Keeps the traffic that comes in at each initiator that runs now, in files of their names; for replay. */
+    public void capture(Path to) throws IOException {
+        Files.createDirectories(to);
+        for (Initiator i : initiators) {
+            i.capture(to.resolve(i.name() + ".traffic"));
+        }
+    }
+
     // ---- The day ----
 
     /** Plays the day to its end. @param live hears a line of service every second; may do nothing */
--- a/rehearsal/src/main/java/milletyoke/rehearsal/audit/Audit.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/audit/Audit.java
@@ -134,6 +134,11 @@
             case REPLY -> ended(life, r.getConnection(), f.getReply().getNumber(), f.getReply().getOutcome(), r.getAt(),
                     frame);
             case CANCEL -> ended(life, r.getConnection(), f.getCancel().getNumber(), Outcome.CANCELLED, r.getAt(), frame);
+            case BYE -> {
+                if (got && f.getBye().getNothingTaken()) {
+                    refused(life, r, frame);
+                }
+            }
             case LIST -> {
                 if (got) {
                     life.told(f.getList(), r.getAt(), frame);
@@ -192,6 +197,14 @@
         }
     }
 
+    /** What was sent there never ran, by the target's word; one that has answered there before is not believed. */
+    private void refused(Life life, Record r, int frame) {
+        Map<Long, Seen.Sent> out = life.out.getOrDefault(r.getConnection(), Map.of());
+        if (out.values().stream().allMatch(s -> s.outcome == null || s.outcome == Outcome.CANCELLED)) {
+            List.copyOf(out.keySet()).forEach(n -> ended(life, r.getConnection(), n, Outcome.NO_CONNECTION, r.getAt(), frame));
+        }
+    }
+
     private void closed(Life life, Record r, int frame) {
         List<Long> numbers = List.copyOf(life.out.getOrDefault(r.getConnection(), Map.of()).keySet());
         numbers.forEach(n -> ended(life, r.getConnection(), n, Outcome.RESET, r.getAt(), frame));
--- a/rehearsal/src/main/java/milletyoke/rehearsal/audit/Seen.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/audit/Seen.java
@@ -45,7 +45,7 @@
         final int connection;
         final int frame;
         final long at;
-        /** What the sockets told of its end: a reply, a cancel sent (CANCELLED) or the connection's end (RESET). */
+        /** What the sockets told of its end: a reply, a cancel sent (CANCELLED), its refusal (NO_CONNECTION) or the end (RESET). */
         Outcome outcome;
         long endedAt;
         int endFrame = -1;
@@ -67,7 +67,7 @@
         }
 
         boolean mayHaveRun(long now) {
-            return hasEnded(now) ? outcome != Outcome.FULL && outcome != Outcome.MOOT : true;
+            return !hasEnded(now) || outcome != Outcome.FULL && outcome != Outcome.MOOT && outcome != Outcome.NO_CONNECTION;
         }
 
         /** Ended without a word of its target, so that it may still run; and when, else -1. */
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
@@ -1,5 +1,6 @@
 package milletyoke.rehearsal.script;
 
+import java.nio.file.Path;
 import java.util.List;
 import milletyoke.gateway.setup.Deployment;
 import milletyoke.port.Provisioning;
@@ -36,7 +37,7 @@
             double tipMultiple, double budgetFree, double budgetShare, long budgetSpan, long mustAskIn) {}
 
     public record Load(double rate, int retries, long retryWait, double impatient, long[] littleTime, double vanish, int closed,
-            long think) {}
+            long think, List<Path> traffic, double speed) {}
 
     /**
      * Something that goes wrong.
@@ -86,7 +87,7 @@
     /** The same day with another number of accesses a second. */
     public BadDay at(double rate) {
         Load other = new Load(rate, load.retries(), load.retryWait(), load.impatient(), load.littleTime(), load.vanish(),
-                load.closed(), load.think());
+                load.closed(), load.think(), load.traffic(), load.speed());
         return new BadDay(name, seed, lasts, initiators, held, fleet, categories, kinds, plans, allowances, bounds, listAsked,
                 other, troubles);
     }
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
@@ -128,7 +128,7 @@
         Allowances allowances = new Allowances(Math.max(1, a.whole("relays", "3")), !a.flag("noprobes"),
                 !a.flag("nocancels"), !a.flag("noadvice"), a.time("advice", "500ms"));
         a.done();
-        BadDay.Load load = load(single("load"));
+        BadDay.Load load = load(single("load"), file);
         for (Trouble t : troubles) {
             boolean known = planned.stream().anyMatch(p -> p.plan().name().equals(t.name()) && p.plan().limitRate() > 0);
             if (t.sort() == Sort.LIMIT && !known) {
@@ -216,11 +216,21 @@
         return bounds;
     }
 
-    private static BadDay.Load load(Words w) throws ScriptError {
+    /** Files of captured traffic, with commas between; from the script's folder on. */
+    private static List<Path> traffic(Words w, String file) throws ScriptError {
+        String text = w.text("traffic", "");
+        Path folder = Path.of(file).toAbsolutePath().getParent();
+        return text.isEmpty() ? List.of() : java.util.Arrays.stream(text.split(",")).map(folder::resolve).toList();
+    }
+
+    private static BadDay.Load load(Words w, String file) throws ScriptError {
         String rate = w.next();
         BadDay.Load load = new BadDay.Load(rate == null ? 400 : w.figure("load", rate, "/s"), w.whole("retries", "1"),
                 w.time("wait", "100ms"), w.part("impatient", "0"), w.times("time", "100ms..200ms"),
-                w.part("vanish", "0"), w.whole("closed", "0"), w.time("think", "0"));
+                w.part("vanish", "0"), w.whole("closed", "0"), w.time("think", "0"), traffic(w, file), w.figure("speed", "1"));
+        if (!(load.speed() > 0)) {
+            throw w.wrong("speed must be over 0");
+        }
         w.done();
         return load;
     }
--- a/standins/src/main/java/milletyoke/standins/Clients.java
+++ b/standins/src/main/java/milletyoke/standins/Clients.java
@@ -57,6 +57,9 @@
     private volatile double hot;
     /** When the next first try is due; of the one who paces. */
     private long due;
+    /** Of a trace: when it began, and how much of it was asked. */
+    private long beganAt;
+    private int traced;
     private long[] runs;
     private String[] runExtents;
 
@@ -238,7 +241,10 @@
 
     public void start() {
         due = world.micros();
-        if (demand.closed() > 0) {
+        beganAt = due;
+        if (!demand.trace().isEmpty()) {
+            clockwork.execute(this::traceNext);
+        } else if (demand.closed() > 0) {
             for (int program = 0; program < demand.closed(); program++) {
                 askAfter(program % demand.volumes().size(), chance.nextLong(1_000 + demand.think()));
             }
@@ -330,12 +336,31 @@
         }, micros, TimeUnit.MICROSECONDS);
     }
 
+    /** Captured accesses, each when it came, the times between them as many times shorter as the demand's speed has it. */
+    private void traceNext() {
+        while (!stopped && traced < demand.trace().size()) {
+            Demand.Traced next = demand.trace().get(traced);
+            due = beganAt + next.at();
+            if (due > world.micros()) {
+                clockwork.schedule(this::traceNext, due - world.micros(), TimeUnit.MICROSECONDS);
+                return;
+            }
+            traced++;
+            String mark = "m" + numbers.incrementAndGet() + "." + next.volume().name();
+            ask(new Try(next.kind(), next.volume(), next.shard(), next.extent(), next.units(), mark,
+                    straight ? Math.max(0, next.shard()) : next.door(), due, due + next.timeLeft(), 0, false));
+        }
+    }
+
     private long gap() {
         return (long) (-Math.log(1 - chance.nextDouble()) * 1e6 / (demand.rate() * (1 + extra)));
     }
 
     private void first(int volume) {
-        Try first = draw(due, volume);
+        ask(draw(due, volume));
+    }
+
+    private void ask(Try first) {
         service.asked(first.kind.name(), first.volume.name());
         pendingCount.incrementAndGet();
         send(first);
--- a/standins/src/main/java/milletyoke/standins/Target.java
+++ b/standins/src/main/java/milletyoke/standins/Target.java
@@ -258,12 +258,17 @@
     // ---- Serving ----
 
     @Override
-    public synchronized void ready(Peer peer) {
-        if (peers.size() >= nature.connections() || refuses) {
-            clockwork.execute(() -> peer.bye("no more connections"));
-            return;
+    public void ready(Peer peer) {
+        boolean taken;
+        synchronized (this) {
+            taken = peers.size() < nature.connections() && !refuses;
+            if (taken) {
+                peers.add(peer);
+            }
+        }
+        if (!taken) {
+            peer.refuse("no more connections");
         }
-        peers.add(peer);
     }
 
     @Override
--- a/wire/src/main/java/milletyoke/wire/Peer.java
+++ b/wire/src/main/java/milletyoke/wire/Peer.java
@@ -40,6 +40,8 @@
     private volatile long lastUse;
     private volatile long partialSince;
     private volatile String fault;
+    private volatile boolean refused;
+    private volatile boolean tookNothing;
 
     /** @param id unique in its world; a set of peers that is gone over goes in an order that follows from ids */
     protected Peer(int id, PeerHandler handler, Bounds bounds, Tap tap, LongSupplier clock) {
@@ -163,6 +165,21 @@
     /** Closes so that the other end sees a reset. */
     protected abstract void cut();
 
+    /**
+     * Closes a connection of which nothing was taken, and says so, so that the other end may try elsewhere what it sent. Only for
+     * one that was refused as it came, whose frames nobody will look at.
+     */
+    public void refuse(String why) {
+        refused = true;
+        send(Frame.newBuilder().setBye(Bye.newBuilder().setWhy(why).setNothingTaken(true)).build());
+        close(why);
+    }
+
+    /** Whether the other end said that it has taken nothing of what was sent on this connection. */
+    public boolean tookNothing() {
+        return tookNothing;
+    }
+
     @Override
     public void bye(String why) {
         send(byeFrame(why));
@@ -212,7 +229,7 @@
     protected final void got(Frame frame) {
         lastUse = clock.getAsLong();
         partialSince = 0;
-        if (closed.get()) {
+        if (closed.get() || refused) {
             return;
         }
         tap.saw(this, Direction.GOT, frame);
@@ -221,6 +238,7 @@
                 welcome(frame);
                 handler.ready(this);
             } else if (frame.getBodyCase() == Frame.BodyCase.BYE) {
+                tookNothing = frame.getBye().getNothingTaken();
                 close("the peer left: " + frame.getBye().getWhy());
             } else if (frame.getBodyCase() == Frame.BodyCase.GOING_AWAY) {
                 handler.goingAway(this, frame.getGoingAway().getWhy());
--- /dev/null
+++ b/wire/src/main/java/milletyoke/wire/capture/Traffic.java
@@ -0,0 +1,100 @@
+package milletyoke.wire.capture;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.zip.CRC32C;
+import milletyoke.wire.capture.proto.Block;
+import milletyoke.wire.capture.proto.Came;
+
+/**
+ * Captured traffic of one initiator, read whole.
+ *
+ * @param leftOut accesses that came and are not in it
+ * @param whole false where the end was cut off or damaged; what stands before it is used
+ */
+public record Traffic(String initiator, List<One> accesses, long leftOut, boolean whole) {
+    private static final int LARGEST_BLOCK = 256 << 20;
+
+    /**
+     * One access.
+     *
+     * @param at microseconds since the capture began
+     * @param shard -1 for a new object
+     */
+    public record One(long at, String volume, String plan, String category, String extent, int shard, int hosts, double units,
+            long timeLeft, boolean write, int payload) {}
+
+    /** @throws IOException where it is no capture of a version that is known, or a whole block says what cannot be */
+    public static Traffic read(Path file) throws IOException {
+        try (DataInputStream in = new DataInputStream(new BufferedInputStream(Files.newInputStream(file), 1 << 16))) {
+            byte[] beginning = in.readNBytes(CaptureWriter.BEGINNING.length);
+            if (!Arrays.equals(beginning, CaptureWriter.BEGINNING)) {
+                throw new IOException(file + ": not captured traffic of version 1");
+            }
+            List<String> names = new ArrayList<>(List.of(""));
+            List<One> all = new ArrayList<>();
+            String initiator = "";
+            long at = 0;
+            long leftOut = 0;
+            boolean whole = true;
+            for (int number = 0; ; number++) {
+                Block block;
+                try {
+                    block = block(in);
+                } catch (EOFException | InvalidProtocolBufferException cut) {
+                    whole = false;
+                    break;
+                }
+                if (block == null) {
+                    break;
+                }
+                initiator = number == 0 ? block.getInitiator() : initiator;
+                names.addAll(block.getNameList());
+                leftOut += block.getLeftOut();
+                for (Came c : block.getCameList()) {
+                    at += c.getAfter();
+                    all.add(new One(at, name(names, c.getVolume(), file, number), name(names, c.getPlan(), file, number),
+                            name(names, c.getCategory(), file, number), name(names, c.getExtent(), file, number),
+                            c.getShard() - 1, c.getHosts(), c.getUnits(), c.getTimeLeft(), c.getWrite(), c.getPayload()));
+                }
+            }
+            return new Traffic(initiator, List.copyOf(all), leftOut, whole);
+        }
+    }
+
+    private static String name(List<String> names, int number, Path file, int block) throws IOException {
+        if (number < 0 || number >= names.size()) {
+            throw new IOException(file + ": block " + block + " names what was never told, number "
+                    + Integer.toUnsignedString(number) + " of " + names.size());
+        }
+        return names.get(number);
+    }
+
+    /** Null at the end. */
+    private static Block block(DataInputStream in) throws IOException {
+        int first = in.read();
+        if (first < 0) {
+            return null;
+        }
+        int length = first << 24 | in.readUnsignedByte() << 16 | in.readUnsignedShort();
+        if (length < 0 || length > LARGEST_BLOCK) {
+            throw new EOFException();
+        }
+        int told = in.readInt();
+        byte[] bytes = in.readNBytes(length);
+        CRC32C crc = new CRC32C();
+        crc.update(bytes);
+        if (bytes.length < length || (int) crc.getValue() != told) {
+            throw new EOFException();
+        }
+        return Block.parseFrom(bytes);
+    }
+}
