Scripts wait for service to fall; targets that lose to a crowd, pay for connections, warm up by work

Change: `when service under=70% from=2s TROUBLE` strikes once, when service of the last second has fallen so far; `crowd`, `connecting` and `warmunits` of targets, off unless a script asks, on sockets and in the lab alike. Result: tests show each: the trouble that waits changes nothing where service never falls so low, to the digest.

--- a/lab/src/main/java/milletyoke/lab/storm/Hunt.java
+++ b/lab/src/main/java/milletyoke/lab/storm/Hunt.java
@@ -109,6 +109,7 @@
     /** The day as a script: the base's own text with these troubles in place of its own. */
     public static String script(String baseText, Catch found) {
         String kept = baseText.lines().filter(l -> !l.strip().startsWith("at ") && !l.strip().startsWith("then ")
+                && !l.strip().startsWith("when ")
                 && !l.strip().startsWith("seed ") && !l.strip().startsWith("#")).collect(Collectors.joining("\n"));
         String troubles = found.day().troubles().stream().map(TroubleText::of).collect(Collectors.joining("\n"));
         String said = found.broken() ? found.why() : String.format("service %.4f in the lab", found.service());
--- a/lab/src/main/java/milletyoke/lab/storm/Shrink.java
+++ b/lab/src/main/java/milletyoke/lab/storm/Shrink.java
@@ -64,11 +64,11 @@
         List<Trouble> all = new ArrayList<>();
         if (t.span() > 400_000) {
             all.add(new Trouble(t.at(), t.line(), t.sort(), t.whom(), t.span() / 2000 * 1000, t.figure(), t.range(), t.every(),
-                    t.count(), t.down(), t.name()));
+                    t.count(), t.down(), t.name(), t.under()));
         }
         if (t.whom().part() > 0.2) {
             all.add(new Trouble(t.at(), t.line(), t.sort(), new Selection(Math.rint(5 * t.whom().part()) / 10, 0), t.span(),
-                    t.figure(), t.range(), t.every(), t.count(), t.down(), t.name()));
+                    t.figure(), t.range(), t.every(), t.count(), t.down(), t.name(), t.under()));
         }
         return all;
     }
--- a/lab/src/main/java/milletyoke/lab/storm/TroubleText.java
+++ b/lab/src/main/java/milletyoke/lab/storm/TroubleText.java
@@ -13,7 +13,9 @@
     public static String of(Trouble t) {
         String whom = t.whom().number() > 0 ? "" + t.whom().number() : percent(t.whom().part());
         String span = " for=" + time(t.span());
-        return "at " + time(t.at()) + " " + switch (t.sort()) {
+        String start = t.under() > 0 ? "when service under=" + percent(t.under()) + " from=" + time(t.at()) + " "
+                : "at " + time(t.at()) + " ";
+        return start + switch (t.sort()) {
             case HANG, UNREACHABLE, DRAIN, STILL -> name(t) + " " + whom + span;
             case SLOW -> "slow " + whom + " by=" + t.figure() + span;
             case PAUSES -> "pauses " + whom + " of=" + times(t.range()) + " every=" + time(t.every()) + span;
--- a/lab/src/test/java/milletyoke/lab/LabTest.java
+++ b/lab/src/test/java/milletyoke/lab/LabTest.java
@@ -28,6 +28,7 @@
 import milletyoke.rehearsal.audit.Audit;
 import milletyoke.rehearsal.script.BadDay;
 import milletyoke.rehearsal.script.Script;
+import milletyoke.rehearsal.script.ScriptError;
 import milletyoke.standins.Discovery;
 import milletyoke.wire.Bounds;
 import milletyoke.wire.Peer;
@@ -128,6 +129,40 @@
         }
     }
 
+    @Test
+    void aTroubleThatWaitsForServiceComesOnceItHasFallen() throws Exception {
+        String text = Files.readString(OWN.resolve("cascade.day"));
+        long without = Play.of(Script.read("d", "d", text.replaceAll("(?m)^when.*$", "")), null).digest();
+        assertEquals(without, Play.of(Script.read("d", "d", text.replace("under=70%", "under=1%")), null).digest(),
+                "service never falls so low");
+        assertNotEquals(without, Play.of(Script.read("d", "d", text), null).digest());
+        assertTrue(assertThrows(ScriptError.class, () -> Script.read("d", "d", text.replace("when service", "when luck")))
+                .getMessage().contains("luck"));
+    }
+
+    @Test
+    void whatTargetsAreLikeShows() throws Exception {
+        String text = Files.readString(REHEARSALS.resolve("mass-restart-stamped.day"))
+                .replaceAll("(?m)^load [0-9]*/s", "load 2500/s").replaceAll(" limit=\\d+", "");
+        String crowd = text.replaceAll("(?m)^targets .*$", "$0 crowd=10%");
+        double plain = atOnce(text);
+        double crowded = atOnce(crowd);
+        assertTrue(crowded < plain - 0.05, "targets that lose to a crowd do less: " + crowded + ", " + plain);
+        assertTrue(Play.of(Script.read("d", "d", crowd), null).service().whole() > crowded + 0.05, "windows leave them less of one");
+        BadDay cold = Script.read(OWN.resolve("cold-restart-40.day"));
+        String byWork = Files.readString(OWN.resolve("cold-restart-40.day")).replaceAll("(?m)^targets .*$", "$0 warmunits=20");
+        assertTrue(Play.of(Script.read("d", "d", byWork), null).service().whole()
+                > Play.of(cold, null).service().whole(), "targets that are warm after twenty units do more");
+        String costly = Files.readString(REHEARSALS.resolve("reconnect.day")).replaceAll("(?m)^targets .*$", "$0 connecting=200ms");
+        assertTrue(Play.of(Script.read("d", "d", costly), null).service().whole()
+                < Play.of(Script.read(REHEARSALS.resolve("reconnect.day")), null).service().whole());
+    }
+
+    private static double atOnce(String text) throws Exception {
+        return Play.of(Script.read("d", "d", text), null, false, LabWorld.Physics.LOOPBACK, Scheduler.AT_ONCE.decisions())
+                .service().whole();
+    }
+
     /** Traffic as it came in at three initiators is asked again, access by access, also at another speed. */
     @Test
     void capturedTrafficIsAskedAgain() throws Exception {
--- a/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -212,7 +212,7 @@
         BadDay.BoundsOf b = day.bounds();
         Nature nature = new Nature(f.cores(), speed, f.unit(), f.room(), f.connections(), f.extents(), f.extentSaves(),
                 f.putOff(), f.putOffEvery(), f.pauseEvery(), f.pause(), b.coldShare(), b.cold(), b.tipMultiple(),
-                b.fall(), f.tells(), f.dropsCancelled());
+                b.fall(), f.tells(), f.dropsCancelled(), f.crowd(), f.connecting(), f.warmUnits());
         return new Target(id, shard, nature, chance.nextLong(), clockwork, category -> marks(category, shard),
                 tap(id), this::note, world);
     }
@@ -386,12 +386,34 @@
     }
 
     private void arrange(Trouble t) {
+        if (t.under() > 0) {
+            after(t.at(), () -> await(t, clients.service().sums()));
+            return;
+        }
         after(t.at(), () -> {
             LOG.info("{} strikes", t.sort().name().toLowerCase(Locale.ROOT).replace('_', ' '));
             strike(t);
         });
     }
 
+    /** Looks ten times a second whether service of the last second is under the trouble's part. */
+    private void await(Trouble t, double[]... seconds) {
+        after(100_000, () -> {
+            double[] now = clients.service().sums();
+            double[][] kept = java.util.Arrays.copyOf(seconds, Math.min(10, seconds.length + 1));
+            System.arraycopy(seconds, 0, kept, 1, kept.length - 1);
+            kept[0] = now;
+            double[] before = seconds[seconds.length - 1];
+            double due = now[0] - before[0];
+            if (seconds.length == 10 && due > 0 && (now[1] - before[1]) / due < t.under()) {
+                LOG.info("{} strikes, service is {}", t.sort().name().toLowerCase(Locale.ROOT), (now[1] - before[1]) / due);
+                strike(t);
+            } else {
+                await(t, kept);
+            }
+        });
+    }
+
     private interface Task {
         void run() throws Exception;
     }
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
@@ -24,7 +24,7 @@
     /** The targets; see {@link milletyoke.standins.Nature}. */
     public record Fleet(int targets, int zones, int cores, double[] speeds, long unit, int room, int connections,
             int extents, double extentSaves, double putOff, long putOffEvery, long pauseEvery, long pause, boolean tells,
-            boolean dropsCancelled, long[] listLag) {}
+            boolean dropsCancelled, long[] listLag, double crowd, long connecting, double warmUnits) {}
 
     /** What clients know of a category beside its provisioning. */
     public record Kind(double share, int leastUnits, int mostUnits, boolean write, boolean anywhere, long abandon) {}
@@ -46,9 +46,23 @@
      * @param line of the script, for messages
      * @param count of volumes; of a partition the number of its target, 0 where {@code figure} is the part of them
      * @param name of the plan whose limit changes: {@code figure} is its rate, {@code range} depth and slack
+     * @param under 0, or from {@code at} on it comes when service of the last second is under this part, once
      */
     public record Trouble(long at, int line, Sort sort, Selection whom, long span, double figure, long[] range,
-            long every, int count, long down, String name) {}
+            long every, int count, long down, String name, double under) {
+
+        /** One at its time, whatever service is. */
+        public Trouble(long at, int line, Sort sort, Selection whom, long span, double figure, long[] range, long every,
+                int count, long down, String name) {
+            this(at, line, sort, whom, span, figure, range, every, count, down, name, 0);
+        }
+
+        /** The same, once service of the last second is under a part. */
+        Trouble under(double part) {
+            return new Trouble(at, line, sort, whom, span, figure, range, every, count, down, name, part);
+        }
+    }
+
 
     /** Which targets or initiators: a part of them drawn from the seed, or one by number from 1. */
     public record Selection(double part, int number) {}
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
@@ -71,6 +71,18 @@
             case "category" -> categories.add(w);
             case "plan" -> plans.add(w);
             case "at" -> troubles.add(trouble(w, w.time("at", w.next("the time"), true), line));
+            case "when" -> {
+                String what = w.next("service");
+                if (!what.equals("service")) {
+                    throw w.wrong("a trouble can wait for service, not for \"" + what + "\"");
+                }
+                double under = w.part("under", null);
+                long from = w.time("from", "1s");
+                if (under <= 0) {
+                    throw w.wrong("under must be over 0%");
+                }
+                troubles.add(trouble(w, from, line).under(under));
+            }
             case "then" -> {
                 if (troubles.isEmpty()) {
                     throw w.wrong("then follows a trouble, and none stands before it");
@@ -79,7 +91,7 @@
                 troubles.add(trouble(w, troubles.get(troubles.size() - 1).at() + after, line));
             }
             default -> throw w.wrong("\"" + verb + "\" is no statement; seed, lasts, initiators, targets, bounds, "
-                    + "allowances, load, list, category, plan, at and then are");
+                    + "allowances, load, list, category, plan, at, then and when are");
         }
     }
 
@@ -163,7 +175,8 @@
                 Math.max(1, w.whole("cores", "2")), w.figures("speed", "1..1.4"), w.time("unit", "2ms"),
                 w.whole("room", "40"), Math.max(1, w.whole("connections", "100")), w.whole("extents", "3"),
                 w.part("saves", "50%"), w.part("putoff", "30%"), w.time("putoffevery", "2s"),
-                w.time("pauseevery", "0"), w.time("pause", "100ms"), w.flag("tells"), w.flag("dropscancelled"), lag);
+                w.time("pauseevery", "0"), w.time("pause", "100ms"), w.flag("tells"), w.flag("dropscancelled"), lag,
+                w.part("crowd", "0"), w.time("connecting", "0"), w.figure("warmunits", "0"));
         w.done();
         if (fleet.unit() <= 0 || fleet.speeds()[0] <= 0) {
             throw w.wrong("unit and speed must be over 0");
--- a/rehearsal/src/test/java/milletyoke/rehearsal/ScriptTest.java
+++ b/rehearsal/src/test/java/milletyoke/rehearsal/ScriptTest.java
@@ -38,8 +38,8 @@
         "load 500 retries=1              | a number with /s is expected",
         "frobnicate                      | \"frobnicate\" is no statement",
         "list late by=1s                 | \"late\" has no meaning here",
-        "at 1s list lost for=1s          | late, partial or unavailable",
-        "initiators 0                    | 1 to 100 initiators",
+        "at 1s list lost for=1s          | late, partial, unavailable or flaps",
+        "initiators 0                    | 1 to 10000 initiators",
         "category b share=1 agreed=1s abandon=1s repeats=maybe | \"maybe\" is not known",
     })
     void saysWhatIsWrongAndWhere(String line, String says) {
--- a/standins/src/main/java/milletyoke/standins/Service.java
+++ b/standins/src/main/java/milletyoke/standins/Service.java
@@ -90,12 +90,8 @@
 
     /** Importance answered in its agreed time over the importance asked for. */
     public synchronized double whole() {
-        double due = 0, earned = 0;
-        for (Line line : lines.values()) {
-            due += line.importance * line.asked;
-            earned += line.importance * line.inTime;
-        }
-        return due == 0 ? 1 : earned / due;
+        double[] sums = sums();
+        return sums[0] == 0 ? 1 : sums[1] / sums[0];
     }
 
     /**
@@ -127,6 +123,16 @@
         return new LinkedHashMap<>(lines);
     }
 
+    /** Importance asked for and importance answered in its agreed time, so far. */
+    public synchronized double[] sums() {
+        double[] sums = new double[2];
+        for (Line line : lines.values()) {
+            sums[0] += line.importance * line.asked;
+            sums[1] += line.importance * line.inTime;
+        }
+        return sums;
+    }
+
     public synchronized long askedInAll() {
         return lines.values().stream().mapToLong(l -> l.asked).sum();
     }
--- a/standins/src/main/java/milletyoke/standins/Target.java
+++ b/standins/src/main/java/milletyoke/standins/Target.java
@@ -57,6 +57,7 @@
     private final ArrayDeque<long[]> coldSent = new ArrayDeque<>();
     private final Set<Peer> peers = new LinkedHashSet<>();
     private double coldUnits;
+    private double unitsDone;
     private double putOffWork;
     private long stillUntil;
 
@@ -133,6 +134,7 @@
         fallen = false;
         hangs = false;
         coldUnits = 0;
+        unitsDone = 0;
         coldSent.clear();
         witness.note(id, Note.Kind.UP, cold ? "cold" : "warm", nature.capacity());
         tick(life, this::doPutOff, nature.putOffEvery());
@@ -266,6 +268,11 @@
                 peers.add(peer);
             }
         }
+        if (taken && nature.connecting() > 0) {
+            synchronized (this) {
+                stand(nature.connecting());
+            }
+        }
         if (!taken) {
             peer.refuse("no more connections");
         }
@@ -348,6 +355,7 @@
 
     private double warmth(long now) {
         double age = nature.warm() == 0 ? 1 : Math.min(1, (now - startedAt) / (double) nature.warm());
+        age = nature.warmUnits() > 0 ? Math.min(1, Math.max(age, unitsDone / nature.warmUnits())) : age;
         return cold ? nature.coldShare() + (1 - nature.coldShare()) * age : 1;
     }
 
@@ -362,7 +370,7 @@
             clockwork.schedule(() -> finish(job), 200, TimeUnit.MICROSECONDS);
             return;
         }
-        double work = r.getUnits() * nature.unit() * (0.5 + chance.nextDouble());
+        double work = r.getUnits() * nature.unit() * (0.5 + chance.nextDouble()) * (1 + nature.crowd() * waiting.size());
         if (!r.getExtent().isEmpty() && r.getAttempt() == 0 && remembers(r.getExtent())) {
             work *= 1 - nature.extentSaves();
         }
@@ -405,6 +413,7 @@
             if (!running.remove(job)) {
                 return;
             }
+            unitsDone += job.relay().getUnits();
             while (running.size() < nature.cores() && !waiting.isEmpty()) {
                 begin(waiting.removeFirst(), now);
             }
