--- a/cli/src/main/java/milletyoke/cli/Lab.java
+++ b/cli/src/main/java/milletyoke/cli/Lab.java
@@ -138,7 +138,7 @@
             for (Path file : files) {
                 String mark = files.size() == 1 ? "" : file.toAbsolutePath().getParent().getFileName() + ": ";
                 Results.read(file).forEach(r -> rows.add(new Row(mark + r.arm(), r.value(), r.seed(), r.service(),
-                        r.categories(), r.plans(), r.seconds(), r.p50(), r.p99(), r.evenness(), r.asked(), r.unfinished(), r.digest(),
+                        r.categories(), r.plans(), r.seconds(), r.p50(), r.p99(), r.evenness(), r.coldUsed(), r.asked(), r.unfinished(), r.digest(),
                         r.events(), r.wall())));
             }
             if (rows.isEmpty()) {
--- a/lab/src/main/java/milletyoke/lab/experiment/Results.java
+++ b/lab/src/main/java/milletyoke/lab/experiment/Results.java
@@ -93,13 +93,14 @@
         rows.values().forEach(r -> categories.addAll(r.categories().keySet()));
         List<String> lines = new ArrayList<>();
         lines.add("arm,value,seed,service," + String.join(",", categories) + (categories.isEmpty() ? "" : ",")
-                + "p50_ms,p99_ms,evenness,asked,unfinished,digest,events,wall_us");
+                + "p50_ms,p99_ms,evenness,cold_used,asked,unfinished,digest,events,wall_us");
         for (Row r : rows()) {
             StringBuilder line = new StringBuilder(quoted(r.arm()) + "," + quoted(r.value()) + "," + r.seed() + ","
                     + figure(r.service()));
             categories.forEach(c -> line.append(',').append(r.categories().containsKey(c) ? figure(r.categories().get(c)) : ""));
             line.append(',').append(figure(r.p50())).append(',').append(figure(r.p99())).append(',')
-                    .append(figure(r.evenness())).append(',').append(r.asked()).append(',').append(r.unfinished()).append(',')
+                    .append(figure(r.evenness())).append(',')
+                    .append(figure(r.coldUsed())).append(',').append(r.asked()).append(',').append(r.unfinished()).append(',')
                     .append(r.digest()).append(',').append(r.events()).append(',').append(r.wall());
             lines.add(line.toString());
         }
--- a/lab/src/main/java/milletyoke/lab/experiment/Row.java
+++ b/lab/src/main/java/milletyoke/lab/experiment/Row.java
@@ -10,11 +10,12 @@
  * @param plans accesses of each that were answered in their agreed time
  * @param seconds service up to the end of each second
  * @param evenness between volumes, Jain's index
+ * @param coldUsed the largest part of what a cold target bears that any was sent
  * @param digest of all that travelled, in hexadecimal
  */
 public record Row(String arm, String value, int seed, double service, Map<String, Double> categories,
         Map<String, Long> plans, List<Double> seconds,
-        double p50, double p99, double evenness, long asked, long unfinished, String digest, long events, long wall) {
+        double p50, double p99, double evenness, double coldUsed, long asked, long unfinished, String digest, long events, long wall) {
 
     public String key() {
         return arm + "|" + value + "|" + seed;
--- a/lab/src/main/java/milletyoke/lab/experiment/Runner.java
+++ b/lab/src/main/java/milletyoke/lab/experiment/Runner.java
@@ -67,7 +67,7 @@
         s.lines().forEach((name, line) -> categories.put(name, line.service()));
         return new Row(arm.name(), run.value(), run.seed(), s.whole(), categories, s.inTimeByPlan(),
                 came.seconds(),
-                s.times().getValueAtPercentile(50) / 1e3, s.times().getValueAtPercentile(99) / 1e3, s.evenness(),
+                s.times().getValueAtPercentile(50) / 1e3, s.times().getValueAtPercentile(99) / 1e3, s.evenness(), came.coldUsed(),
                 s.askedInAll(), came.unfinished(), String.format("%016x", came.digest()), came.events(), came.wall());
     }
 }
--- a/lab/src/main/java/milletyoke/lab/play/Play.java
+++ b/lab/src/main/java/milletyoke/lab/play/Play.java
@@ -22,11 +22,13 @@
      * @param seconds service of each second's asking so far, in the order of time
      * @param unfinished tries still without an answer when all should have had one
      * @param clean every initiator that was there at the end left with nothing unanswered
+     * @param coldUsed the largest part of what a cold target bears that any was sent
      * @param digest stands for all that travelled and when
      * @param events that happened
      * @param wall microseconds that the play took
      */
-    public record Came(Service service, List<Double> seconds, long unfinished, boolean clean, long digest, long events,
+    public record Came(Service service, List<Double> seconds, long unfinished, boolean clean,
+            double coldUsed, long digest, long events,
             long wall) {}
 
     /** @param recording where all that the ends of connections saw is written; null for nowhere */
@@ -51,7 +53,7 @@
         try (Stage stage = new Stage(day, recording, straight, null, world, instead)) {
             List<Double> seconds = new ArrayList<>();
             Stage.Played played = stage.play(service -> seconds.add(service.whole()), () -> { });
-            return new Came(played.service(), seconds, played.unfinished(), played.leftClean(), world.digest(),
+            return new Came(played.service(), seconds, played.unfinished(), played.leftClean(), played.coldUsed(), world.digest(),
                     world.happened(), (System.nanoTime() - began) / 1000);
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
--- a/lab/src/main/java/milletyoke/lab/report/Report.java
+++ b/lab/src/main/java/milletyoke/lab/report/Report.java
@@ -162,6 +162,10 @@
         all.put("service-over-time", overTime());
         all.put("service", over("Service", "service", Row::service));
         all.put("p99", over("Answer times, 99th percentile", "ms", Row::p99));
+        all.put("p50", over("Answer times, median", "ms", Row::p50));
+        if (rows.stream().anyMatch(r -> r.coldUsed() > 0)) {
+            all.put("cold", over("Most that a cold target was sent", "part of what it bears", Row::coldUsed));
+        }
         all.put("evenness", over("Evenness between volumes", "Jain's index", Row::evenness));
         all.put("passed", over("Answered in time", "accesses", r -> r.plans().values().stream().mapToLong(n -> n).sum()));
         if (rows.stream().allMatch(r -> r.plans().size() == 2)) {
--- a/lab/src/test/java/milletyoke/lab/LabTest.java
+++ b/lab/src/test/java/milletyoke/lab/LabTest.java
@@ -63,6 +63,7 @@
         Audit.Report report = Audit.of(recording);
         assertTrue(report.clean(), () -> day.name() + "\n" + report.text(true));
         assertEquals(0, came.unfinished(), "every access has its answer");
+        assertTrue(came.coldUsed() <= 1, "no cold target is sent more than it bears: " + came.coldUsed());
         assertTrue(came.clean(), "every initiator left with nothing unanswered");
         return report;
     }
--- a/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -98,8 +98,10 @@
      *
      * @param unfinished tries still without an answer when all should have had one
      * @param cpuMicros of this process, for each access asked
+     * @param coldUsed the largest part of what a cold target bears that any was sent
      */
-    public record Played(Service service, long unfinished, double cpuMicros, List<String> counts, boolean leftClean) {}
+    public record Played(Service service, long unfinished, double cpuMicros, List<String> counts, boolean leftClean,
+            double coldUsed) {}
 
     /**
      * Sets the stage; nothing is asked yet.
@@ -282,6 +284,13 @@
     }
 
     private static int[] some(SplittableRandom draw, int of, int most) {
+        if (of > 64 && most < of / 8) { // for a hundred thousand volumes it would be much to shuffle all for each
+            Set<Integer> few = new LinkedHashSet<>();
+            while (few.size() < most) {
+                few.add(draw.nextInt(of));
+            }
+            return few.stream().mapToInt(i -> i).toArray();
+        }
         List<Integer> all = new ArrayList<>();
         for (int i = 0; i < of; i++) {
             all.add(i);
@@ -377,7 +386,8 @@
                         i.name(), i.counts(), p.turnP50(), p.turnP99(), 100 * p.costs()));
             }
         }
-        return new Played(clients.service(), unfinished, cpuEach, counts, clean);
+        return new Played(clients.service(), unfinished, cpuEach, counts, clean,
+                Stream.concat(targets.stream(), replaced.stream()).mapToDouble(Target::coldUsed).max().orElse(0));
     }
 
     private static long cpu() {
--- a/standins/src/main/java/milletyoke/standins/Target.java
+++ b/standins/src/main/java/milletyoke/standins/Target.java
@@ -58,6 +58,7 @@
     private final Set<Peer> peers = new LinkedHashSet<>();
     private double coldUnits;
     private double unitsDone;
+    private double coldUsed;
     private double putOffWork;
     private long stillUntil;
 
@@ -347,6 +348,7 @@
             coldUnits -= Double.longBitsToDouble(coldSent.removeFirst()[1]);
         }
         double bears = nature.tipMultiple() * nature.capacity() * warmth(now) * nature.fall() / 1e6;
+        coldUsed = nature.fall() > 0 ? Math.max(coldUsed, coldUnits / bears) : 0;
         if (nature.fall() > 0 && coldUnits > bears && !fallen) {
             fallen = true;
             witness.note(id, Note.Kind.FELL, "", coldUnits / bears);
@@ -459,6 +461,11 @@
         peer.send(Frame.newBuilder().setReply(reply).build());
     }
 
+    /** The largest part of what a cold start bears that was ever sent to it within the fall time; over 1 it fell over. */
+    public synchronized double coldUsed() {
+        return coldUsed;
+    }
+
     /** What is there, for a look from outside. */
     public synchronized Map<String, Integer> figures() {
         return Map.of("waiting", waiting.size(), "running", running.size(), "connections", peers.size());
