Work from distributions, ranges for storms; what the lab measured

Result: means within a hundredth of one, spreads in their order, storms within their ranges (tests).

--- a/cli/src/main/java/milletyoke/cli/Lab.java
+++ b/cli/src/main/java/milletyoke/cli/Lab.java
@@ -14,6 +14,7 @@
 import milletyoke.lab.report.Report;
 import milletyoke.lab.world.LabWorld;
 import milletyoke.lab.storm.Hunt;
+import milletyoke.lab.storm.Storm;
 import milletyoke.rehearsal.Stage;
 import milletyoke.rehearsal.audit.Audit;
 import milletyoke.rehearsal.script.BadDay;
@@ -167,6 +168,19 @@
         @Option(names = "--troubles", paramLabel = "N", description = "At most in one storm (${DEFAULT-VALUE}).")
         private int troubles = 5;
 
+        @Option(names = "--only", paramLabel = "SORTS", split = ",", description = "Troubles that are drawn, as HANG,SLOW;"
+                + " usually all: ${COMPLETION-CANDIDATES}.")
+        private List<BadDay.Sort> only = List.of();
+
+        @Option(names = "--least", paramLabel = "PERCENT", description = "Of targets that one strikes (${DEFAULT-VALUE}).")
+        private double least = 10;
+
+        @Option(names = "--most", paramLabel = "PERCENT", description = "Of targets that one strikes (${DEFAULT-VALUE}).")
+        private double most = 80;
+
+        @Option(names = "--longest", paramLabel = "PERCENT", description = "Of the day that one lasts (${DEFAULT-VALUE}).")
+        private double longest = 50;
+
         @Option(names = "--for", paramLabel = "WHAT", description = "${COMPLETION-CANDIDATES}: a broken rule, or the least service.")
         private Hunt.Quarry quarry = Hunt.Quarry.RULES;
 
@@ -181,7 +195,10 @@
             if (storms < 1 || troubles < 1) {
                 throw new IllegalArgumentException("at least one storm of one trouble is played");
             }
-            Hunt hunt = new Hunt(Script.read(script), troubles, Math.max(1, threads));
+            Storm.Ranges usual = Storm.Ranges.usual(troubles);
+            Storm.Ranges ranges = new Storm.Ranges(only.isEmpty() ? usual.sorts() : only, troubles, least / 100, most / 100,
+                    longest / 100);
+            Hunt hunt = new Hunt(Script.read(script), ranges, Math.max(1, threads));
             List<Hunt.Catch> all = hunt.run(seed, storms, quarry);
             all.stream().limit(5).forEach(c -> System.out.printf("%-40s service %.4f  %s%n", c.day().name(), c.service(),
                     c.why()));
--- a/lab/src/main/java/milletyoke/lab/storm/Hunt.java
+++ b/lab/src/main/java/milletyoke/lab/storm/Hunt.java
@@ -30,13 +30,12 @@
     public record Catch(BadDay day, double service, boolean broken, String why) {}
 
     private final BadDay base;
-    private final int troubles;
+    private final Storm.Ranges ranges;
     private final int threads;
 
-    /** @param troubles at most in one storm */
-    public Hunt(BadDay base, int troubles, int threads) {
+    public Hunt(BadDay base, Storm.Ranges ranges, int threads) {
         this.base = base;
-        this.troubles = troubles;
+        this.ranges = ranges;
         this.threads = threads;
     }
 
@@ -46,7 +45,7 @@
         try {
             List<Future<Catch>> plays = new ArrayList<>();
             for (int n = 0; n < storms; n++) {
-                BadDay day = Storm.over(base, firstSeed + n, troubles);
+                BadDay day = Storm.over(base, firstSeed + n, ranges);
                 plays.add(workers.submit(() -> play(day, quarry == Quarry.RULES)));
             }
             List<Catch> all = new ArrayList<>();
--- a/lab/src/main/java/milletyoke/lab/storm/Storm.java
+++ b/lab/src/main/java/milletyoke/lab/storm/Storm.java
@@ -16,36 +16,57 @@
             Sort.LIST_FLAP, Sort.LIST_UNAVAILABLE, Sort.KILL, Sort.STILL, Sort.LEAVE, Sort.SURGE, Sort.HOTKEY,
             Sort.RECONNECT, Sort.PARTITION, Sort.CLOCK);
 
-    private Storm() {
-    }
-
     /**
-     * A day with other troubles.
+     * Within what storms are drawn.
      *
-     * @param most troubles, at least one is drawn
+     * @param sorts of troubles
+     * @param most troubles in one storm
+     * @param leastPart of targets that one strikes, and {@code mostPart}; in tenths
+     * @param longest a trouble lasts, as a part of the day
      */
-    public static BadDay over(BadDay base, long seed, int most) {
+    public record Ranges(List<Sort> sorts, int most, double leastPart, double mostPart, double longest) {
+        public Ranges {
+            if (sorts.isEmpty() || sorts.contains(Sort.LIMIT) || most < 1 || !(leastPart >= 0.1 && leastPart <= mostPart
+                    && mostPart <= 1) || !(longest > 0 && longest <= 1)) {
+                throw new IllegalArgumentException("some troubles but limit, one or more in a storm, parts of 10% to 100% and"
+                        + " the least first, and a longest of up to the whole day are expected");
+            }
+        }
+
+        /** All troubles, a tenth to four fifths of the targets, up to half of the day. */
+        public static Ranges usual(int most) {
+            return new Ranges(SORTS, most, 0.1, 0.8, 0.5);
+        }
+    }
+
+    private Storm() {
+    }
+
+    /** A day with other troubles, at least one. */
+    public static BadDay over(BadDay base, long seed, Ranges ranges) {
         SplittableRandom chance = new SplittableRandom(seed);
-        int count = 1 + chance.nextInt(most);
+        int count = 1 + chance.nextInt(ranges.most());
         List<Trouble> all = new ArrayList<>();
         long at = 0;
         for (int n = 0; n < count; n++) {
             boolean cascade = n > 0 && chance.nextInt(3) == 0; // soon after the one before
             at = cascade ? at + 1000 * (1 + chance.nextLong(1500)) : 1000 * chance.nextLong(base.lasts() * 8 / 10_000);
-            all.add(trouble(chance, at, SORTS.get(chance.nextInt(SORTS.size())), base));
+            all.add(trouble(chance, at, ranges, base));
         }
         all.sort(Comparator.comparingLong(Trouble::at));
         return base.with(base.name() + "-storm-" + Long.toUnsignedString(seed, 36), base.seed() + seed, all);
     }
 
-    private static Trouble trouble(SplittableRandom c, long at, Sort sort, BadDay base) {
+    private static Trouble trouble(SplittableRandom c, long at, Ranges in, BadDay base) {
+        Sort sort = in.sorts().get(c.nextInt(in.sorts().size()));
+        int tenths = (int) Math.round(10 * in.leastPart());
         boolean initiator = switch (sort) {
             case KILL, STILL, LEAVE, PARTITION -> true;
             default -> false;
         };
         Selection whom = initiator ? new Selection(0, 1 + c.nextInt(base.initiators()))
-                : new Selection((1 + c.nextInt(8)) / 10.0, 0);
-        long span = 1000 * (500 + c.nextLong(Math.max(1, base.lasts() / 2000)));
+                : new Selection((tenths + c.nextInt((int) Math.round(10 * in.mostPart()) - tenths + 1)) / 10.0, 0);
+        long span = 1000 * (500 + c.nextLong(Math.max(1, (long) (base.lasts() * in.longest() / 1000))));
         double figure = switch (sort) {
             case SLOW, AGE -> 2 + c.nextInt(7);
             case ERRORS, LOST, HOTKEY, PARTITION -> (1 + c.nextInt(9)) / 10.0;
--- a/lab/src/test/java/milletyoke/lab/ExperimentTest.java
+++ b/lab/src/test/java/milletyoke/lab/ExperimentTest.java
@@ -31,6 +31,7 @@
 import milletyoke.rehearsal.script.BadDay;
 import milletyoke.rehearsal.script.BadDay.Sort;
 import milletyoke.rehearsal.script.Script;
+import milletyoke.standins.Work;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -139,7 +140,7 @@
         BadDay base = Script.read(DAY);
         BadDay day = null;
         for (long seed = 1; day == null; seed++) { // one with a kill among others
-            BadDay drawn = Storm.over(base, seed, 8);
+            BadDay drawn = Storm.over(base, seed, Storm.Ranges.usual(8));
             day = drawn.troubles().size() > 4 && drawn.troubles().stream().anyMatch(t -> t.sort() == Sort.KILL) ? drawn : null;
         }
         List<Integer> seen = new ArrayList<>();
@@ -152,6 +153,42 @@
         assertTrue(seen.size() < 100);
     }
 
+    @Test
+    void stormsStayWithinTheirRanges() throws Exception {
+        Storm.Ranges in = new Storm.Ranges(List.of(Sort.HANG, Sort.SLOW), 3, 0.2, 0.4, 0.25);
+        for (long seed = 0; seed < 200; seed++) {
+            for (var t : Storm.over(Script.read(DAY), seed, in).troubles()) {
+                assertTrue(in.sorts().contains(t.sort()) && t.whom().part() >= 0.2 && t.whom().part() <= 0.4
+                        && t.span() <= 500_000 + Script.read(DAY).lasts() / 4, "" + t);
+            }
+        }
+        assertThrows(IllegalArgumentException.class, () -> new Storm.Ranges(List.of(Sort.LIMIT), 3, 0.2, 0.4, 0.25));
+    }
+
+    /** Means of one, so that a fleet does as much whatever the spread; spreads in the order that their names promise. */
+    @Test
+    void workVariesRoundItsMean() {
+        double last = 0;
+        for (String text : List.of("even", "gamma:4", "exponential", "lognormal:1.2")) {
+            Work work = Work.of(text);
+            double sum = 0;
+            double squares = 0;
+            int n = 200_000;
+            for (int i = 0; i < n; i++) {
+                double f = work.factor((i + 0.5) / n);
+                sum += f;
+                squares += f * f;
+            }
+            double spread = squares / n - sum / n * (sum / n);
+            assertEquals(1, sum / n, 0.01, text);
+            assertTrue(spread > last, text + " spreads " + spread + ", the one before " + last);
+            last = spread;
+        }
+        for (String bad : List.of("", "odd", "gamma", "gamma:0", "lognormal:x", "even:2")) {
+            assertThrows(IllegalArgumentException.class, () -> Work.of(bad), bad);
+        }
+    }
+
     /** What was found is the same day when it is read again: by its text and by all that travels. */
     @Test
     void stormsAreKeptAsScriptsAndPlayTheSame() throws Exception {
@@ -159,7 +196,7 @@
         String text = Files.readString(DAY);
         Set<Sort> met = new HashSet<>();
         for (long seed = 1; seed <= 40; seed++) {
-            BadDay day = Storm.over(base, seed, 6);
+            BadDay day = Storm.over(base, seed, Storm.Ranges.usual(6));
             day.troubles().forEach(t -> met.add(t.sort()));
             String script = Hunt.script(text, new Hunt.Catch(day, 0.5, false, ""));
             BadDay again = Script.read("found.day", day.name(), script);
@@ -173,8 +210,8 @@
 
     @Test
     void aHuntFindsTheSameOnAnyNumberOfThreads() throws Exception {
-        Hunt one = new Hunt(Script.read(DAY), 3, 1);
-        Hunt four = new Hunt(Script.read(DAY), 3, 4);
+        Hunt one = new Hunt(Script.read(DAY), Storm.Ranges.usual(3), 1);
+        Hunt four = new Hunt(Script.read(DAY), Storm.Ranges.usual(3), 4);
         List<Hunt.Catch> first = one.run(100, 6, Hunt.Quarry.RULES);
         assertEquals(first.stream().map(c -> c.day().name() + c.service()).toList(),
                 four.run(100, 6, Hunt.Quarry.RULES).stream().map(c -> c.day().name() + c.service()).toList());
--- a/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/Stage.java
@@ -214,7 +214,7 @@
         BadDay.BoundsOf b = day.bounds();
         Nature nature = new Nature(f.cores(), speed, f.unit(), f.room(), f.connections(), f.extents(), f.extentSaves(),
                 f.putOff(), f.putOffEvery(), f.pauseEvery(), f.pause(), b.coldShare(), b.cold(), b.tipMultiple(),
-                b.fall(), f.tells(), f.dropsCancelled(), f.crowd(), f.connecting(), f.warmUnits());
+                b.fall(), f.tells(), f.dropsCancelled(), f.crowd(), f.connecting(), f.warmUnits(), f.work());
         return new Target(id, shard, nature, chance.nextLong(), clockwork, category -> marks(category, shard),
                 tap(id), this::note, world);
     }
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
@@ -5,6 +5,7 @@
 import milletyoke.gateway.setup.Deployment;
 import milletyoke.port.Provisioning;
 import milletyoke.standins.Demand;
+import milletyoke.standins.Work;
 
 /**
  * A day to be played: who is there, what is asked, and what goes wrong when. Times are microseconds.
@@ -24,7 +25,8 @@
     /** The targets; see {@link milletyoke.standins.Nature}. */
     public record Fleet(int targets, int zones, int cores, double[] speeds, long unit, int room, int connections,
             int extents, double extentSaves, double putOff, long putOffEvery, long pauseEvery, long pause, boolean tells,
-            boolean dropsCancelled, long[] listLag, double crowd, long connecting, double warmUnits) {}
+            boolean dropsCancelled, long[] listLag, double crowd, long connecting, double warmUnits,
+            Work work) {}
 
     /** What clients know of a category beside its provisioning. */
     public record Kind(double share, int leastUnits, int mostUnits, boolean write, boolean anywhere, long abandon) {}
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
@@ -16,6 +16,7 @@
 import milletyoke.rehearsal.script.BadDay.Selection;
 import milletyoke.rehearsal.script.BadDay.Sort;
 import milletyoke.rehearsal.script.BadDay.Trouble;
+import milletyoke.standins.Work;
 
 /**
  * Reads the notation of bad days, one statement a line, # before a remark; docs/rehearsal.md has every statement.
@@ -176,7 +177,7 @@
                 w.whole("room", "40"), Math.max(1, w.whole("connections", "100")), w.whole("extents", "3"),
                 w.part("saves", "50%"), w.part("putoff", "30%"), w.time("putoffevery", "2s"),
                 w.time("pauseevery", "0"), w.time("pause", "100ms"), w.flag("tells"), w.flag("dropscancelled"), lag,
-                w.part("crowd", "0"), w.time("connecting", "0"), w.figure("warmunits", "0"));
+                w.part("crowd", "0"), w.time("connecting", "0"), w.figure("warmunits", "0"), work(w));
         w.done();
         if (fleet.unit() <= 0 || fleet.speeds()[0] <= 0) {
             throw w.wrong("unit and speed must be over 0");
@@ -184,6 +185,14 @@
         return fleet;
     }
 
+    private static Work work(Words w) throws ScriptError {
+        try {
+            return Work.of(w.text("work", "even"));
+        } catch (IllegalArgumentException wrong) {
+            throw w.wrong("work: " + wrong.getMessage());
+        }
+    }
+
     private void category(Words w, List<Category> provisioned, List<BadDay.Kind> kinds) throws ScriptError {
         String called = w.next("the category's name");
         double share = w.part("share", null);
--- a/standins/src/main/java/milletyoke/standins/Nature.java
+++ b/standins/src/main/java/milletyoke/standins/Nature.java
@@ -23,17 +23,18 @@
  * @param crowd each access that waits adds this part to the work of one that begins
  * @param connecting all its cores are held for so long by each new connection (microseconds)
  * @param warmUnits it is warm once it has done so many units, if that is before its time; 0 for by time alone
+ * @param work how the work of one access varies round its mean
  */
 public record Nature(int cores, double speed, long unit, int room, int connections, int extents, double extentSaves,
         double putOff, long putOffEvery, long pauseEvery, long pause, double coldShare, long warm, double tipMultiple,
-        long fall, boolean tells, boolean dropsCancelled, double crowd, long connecting, double warmUnits) {
+        long fall, boolean tells, boolean dropsCancelled, double crowd, long connecting, double warmUnits, Work work) {
 
     /** One that loses nothing in a crowd, takes connections for nothing and warms up by time alone. */
     public Nature(int cores, double speed, long unit, int room, int connections, int extents, double extentSaves,
             double putOff, long putOffEvery, long pauseEvery, long pause, double coldShare, long warm, double tipMultiple,
             long fall, boolean tells, boolean dropsCancelled) {
         this(cores, speed, unit, room, connections, extents, extentSaves, putOff, putOffEvery, pauseEvery, pause, coldShare, warm,
-                tipMultiple, fall, tells, dropsCancelled, 0, 0, 0);
+                tipMultiple, fall, tells, dropsCancelled, 0, 0, 0, Work.EVEN);
     }
 
 
--- a/standins/src/main/java/milletyoke/standins/Target.java
+++ b/standins/src/main/java/milletyoke/standins/Target.java
@@ -372,7 +372,7 @@
             clockwork.schedule(() -> finish(job), 200, TimeUnit.MICROSECONDS);
             return;
         }
-        double work = r.getUnits() * nature.unit() * (0.5 + chance.nextDouble()) * (1 + nature.crowd() * waiting.size());
+        double work = r.getUnits() * nature.unit() * nature.work().factor(chance.nextDouble()) * (1 + nature.crowd() * waiting.size());
         if (!r.getExtent().isEmpty() && r.getAttempt() == 0 && remembers(r.getExtent())) {
             work *= 1 - nature.extentSaves();
         }
