Scripts say how long frames travel in the lab

`network travel=500us..2ms turn=50us`; sockets read past it. A test: four ways of 4 to 6 ms add 18 to 26 ms to the median answer.

--- a/cli/src/main/java/milletyoke/cli/Lab.java
+++ b/cli/src/main/java/milletyoke/cli/Lab.java
@@ -12,7 +12,6 @@
 import milletyoke.lab.experiment.Runner;
 import milletyoke.lab.play.Play;
 import milletyoke.lab.report.Report;
-import milletyoke.lab.world.LabWorld;
 import milletyoke.lab.storm.Hunt;
 import milletyoke.lab.storm.Storm;
 import milletyoke.rehearsal.Stage;
@@ -245,7 +244,7 @@
                 }
                 List<Service> plays = new ArrayList<>();
                 for (int n = 0; n < Math.max(1, turns); n++) {
-                    plays.add(Play.of(day, null, false, LabWorld.Physics.LOOPBACK, null, n).service());
+                    plays.add(Play.of(day, null, false, null, n).service());
                 }
                 for (String category : sockets.lines().keySet()) {
                     double here = 100 * sockets.line(category).service();
--- a/lab/src/main/java/milletyoke/lab/experiment/Runner.java
+++ b/lab/src/main/java/milletyoke/lab/experiment/Runner.java
@@ -12,7 +12,6 @@
 import java.util.function.Supplier;
 import milletyoke.lab.play.Play;
 import milletyoke.lab.policy.Variant;
-import milletyoke.lab.world.LabWorld;
 import milletyoke.port.Decisions;
 import milletyoke.rehearsal.script.ScriptError;
 import milletyoke.standins.Service;
@@ -61,7 +60,7 @@
         Experiment.Arm arm = run.arm();
         Supplier<Decisions> decisions = arm.variant().isEmpty() ? arm.scheduler().decisions()
                 : variants.get(arm.variant().replace("{x}", run.value()));
-        Play.Came came = Play.of(experiment.dayOf(run), null, arm.straight(), LabWorld.Physics.LOOPBACK, decisions);
+        Play.Came came = Play.of(experiment.dayOf(run), null, arm.straight(), decisions);
         Service s = came.service();
         Map<String, Double> categories = new LinkedHashMap<>();
         s.lines().forEach((name, line) -> categories.put(name, line.service()));
--- a/lab/src/main/java/milletyoke/lab/play/Play.java
+++ b/lab/src/main/java/milletyoke/lab/play/Play.java
@@ -33,22 +33,22 @@
 
     /** @param recording where all that the ends of connections saw is written; null for nowhere */
     public static Came of(BadDay day, Path recording) throws IOException {
-        return of(day, recording, false, LabWorld.Physics.LOOPBACK, null);
+        return of(day, recording, false, null);
     }
 
     /**
      * @param straight clients go straight to the targets, for comparison
      * @param instead of the product's decisions; null for these
      */
-    public static Came of(BadDay day, Path recording, boolean straight, LabWorld.Physics physics,
-            Supplier<Decisions> instead) throws IOException {
-        return of(day, recording, straight, physics, instead, 0);
+    public static Came of(BadDay day, Path recording, boolean straight, Supplier<Decisions> instead) throws IOException {
+        return of(day, recording, straight, instead, 0);
     }
 
     /** @param turn another one is the same day with the same draws, and frames travel otherwise, as no play on sockets is the next */
-    public static Came of(BadDay day, Path recording, boolean straight, LabWorld.Physics physics,
-            Supplier<Decisions> instead, long turn) throws IOException {
+    public static Came of(BadDay day, Path recording, boolean straight, Supplier<Decisions> instead, long turn) throws IOException {
         long began = System.nanoTime();
+        BadDay.Network n = day.network();
+        LabWorld.Physics physics = new LabWorld.Physics(n.travel()[0], n.travel()[1], n.turn());
         LabWorld world = new LabWorld((day.seed() ^ 0x6C6162L) + 31 * turn, physics);
         try (Stage stage = new Stage(day, recording, straight, null, world, instead)) {
             List<Double> seconds = new ArrayList<>();
--- a/lab/src/test/java/milletyoke/lab/ExperimentTest.java
+++ b/lab/src/test/java/milletyoke/lab/ExperimentTest.java
@@ -27,7 +27,6 @@
 import milletyoke.lab.storm.Hunt;
 import milletyoke.lab.storm.Shrink;
 import milletyoke.lab.storm.Storm;
-import milletyoke.lab.world.LabWorld;
 import milletyoke.rehearsal.script.BadDay;
 import milletyoke.rehearsal.script.BadDay.Sort;
 import milletyoke.rehearsal.script.Script;
@@ -128,8 +127,8 @@
     void aVariantWithTheSameFiguresPlaysTheSameAndAnotherDoesNot() throws Exception {
         BadDay day = Script.read(DAY);
         long own = Play.of(day, null).digest();
-        assertEquals(own, Play.of(day, null, false, LabWorld.Physics.LOOPBACK, Variant.of(DECIDE, "MARGIN_STEPS = 1.5")).digest());
-        assertNotEquals(own, Play.of(day, null, false, LabWorld.Physics.LOOPBACK,
+        assertEquals(own, Play.of(day, null, false, Variant.of(DECIDE, "MARGIN_STEPS = 1.5")).digest());
+        assertNotEquals(own, Play.of(day, null, false,
                 Variant.of(DECIDE, "FIRST_WINDOW = 1; WINDOW_CEILING = 2")).digest());
         assertTrue(assertThrows(IOException.class, () -> Variant.of(DECIDE, "NO_SUCH = 1")).getMessage().contains("NO_SUCH"));
         assertThrows(IOException.class, () -> Variant.of(DECIDE, "MARGIN_STEPS = System.exit(1)"));
--- a/lab/src/test/java/milletyoke/lab/LabTest.java
+++ b/lab/src/test/java/milletyoke/lab/LabTest.java
@@ -121,7 +121,7 @@
         BadDay day = Script.read(REHEARSALS.resolve("slow.day"));
         for (Scheduler scheduler : List.of(Scheduler.AT_ONCE, Scheduler.FAIR_ROUNDS)) {
             Path recording = folder.resolve("recording");
-            Play.Came came = Play.of(day, recording, false, LabWorld.Physics.LOOPBACK, scheduler.decisions());
+            Play.Came came = Play.of(day, recording, false, scheduler.decisions());
             Audit.Report report = Audit.of(recording);
             for (int rule : new int[] {1, 2, 7}) {
                 assertEquals(0, report.rule(rule).breaches(), () -> scheduler + "\n" + report.text(true));
@@ -159,8 +159,17 @@
                 < Play.of(Script.read(REHEARSALS.resolve("reconnect.day")), null).service().whole());
     }
 
+    @Test
+    void travelIsPartOfEveryAnswer() throws Exception {
+        String text = Files.readString(REHEARSALS.resolve("slow.day"));
+        double near = Play.of(Script.read("d", "d", text), null).service().times().getValueAtPercentile(50);
+        double far = Play.of(Script.read("d", "d", text + "\nnetwork travel=4ms..6ms"), null).service().times()
+                .getValueAtPercentile(50);
+        assertTrue(far > near + 18_000 && far < near + 26_000, "four ways of 4 to 6 ms: " + near + ", " + far);
+    }
+
     private static double atOnce(String text) throws Exception {
-        return Play.of(Script.read("d", "d", text), null, false, LabWorld.Physics.LOOPBACK, Scheduler.AT_ONCE.decisions())
+        return Play.of(Script.read("d", "d", text), null, false, Scheduler.AT_ONCE.decisions())
                 .service().whole();
     }
 
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/BadDay.java
@@ -17,7 +17,15 @@
  */
 public record BadDay(String name, long seed, long lasts, int initiators, int held, Fleet fleet,
         List<Provisioning.Category> categories, List<Kind> kinds, List<PlanOf> plans, Provisioning.Allowances allowances,
-        BoundsOf bounds, boolean listAsked, Load load, List<Trouble> troubles) {
+        BoundsOf bounds, boolean listAsked, Load load, Network network, List<Trouble> troubles) {
+
+    /**
+     * What the lab's network and machines are like; sockets have what they have.
+     *
+     * @param travel of a frame from end to end, least and most
+     * @param turn an initiator's loop is busy for so long with each turn
+     */
+    public record Network(long[] travel, long turn) {}
 
     /** How a partition cuts, added up in {@link Trouble#every}: towards the targets alone; work alone, not probes. */
     public static final long ONE_WAY = 1, GREY = 2;
@@ -97,7 +105,7 @@
     /** The same day with other troubles, under another name and seed. */
     public BadDay with(String called, long otherSeed, List<Trouble> others) {
         return new BadDay(called, otherSeed, lasts, initiators, held, fleet, categories, kinds, plans, allowances, bounds,
-                listAsked, load, List.copyOf(others));
+                listAsked, load, network, List.copyOf(others));
     }
 
     /** The same day with another number of accesses a second. */
@@ -105,7 +113,7 @@
         Load other = new Load(rate, load.retries(), load.retryWait(), load.impatient(), load.littleTime(), load.vanish(),
                 load.closed(), load.think(), load.traffic(), load.speed());
         return new BadDay(name, seed, lasts, initiators, held, fleet, categories, kinds, plans, allowances, bounds, listAsked,
-                other, troubles);
+                other, network, troubles);
     }
 
     /** How clients know the repeats of a category. */
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
@@ -64,7 +64,7 @@
     private void statement(Words w, int line) throws ScriptError {
         String verb = w.next("a statement");
         switch (verb) {
-            case "seed", "lasts", "initiators", "targets", "bounds", "allowances", "load", "list" -> {
+            case "seed", "lasts", "initiators", "targets", "bounds", "allowances", "load", "list", "network" -> {
                 if (single.put(verb, w) != null) {
                     throw w.wrong(verb + " stands there twice");
                 }
@@ -92,7 +92,7 @@
                 troubles.add(trouble(w, troubles.get(troubles.size() - 1).at() + after, line));
             }
             default -> throw w.wrong("\"" + verb + "\" is no statement; seed, lasts, initiators, targets, bounds, "
-                    + "allowances, load, list, category, plan, at, then and when are");
+                    + "allowances, load, list, network, category, plan, at, then and when are");
         }
     }
 
@@ -160,7 +160,7 @@
             }
         }
         return new BadDay(name, seedValue, lastsValue, initiators, held, fleet, provisioned, kinds, planned, allowances,
-                bounds, listAsked, load, List.copyOf(troubles));
+                bounds, listAsked, load, network(single("network")), List.copyOf(troubles));
     }
 
     private BadDay.Fleet fleet(Words w, Words list) throws ScriptError {
@@ -185,6 +185,15 @@
         return fleet;
     }
 
+    private static BadDay.Network network(Words w) throws ScriptError {
+        BadDay.Network network = new BadDay.Network(w.times("travel", "30us..90us"), w.time("turn", "30us"));
+        w.done();
+        if (network.travel()[0] < 1) {
+            throw w.wrong("travel must be over 0");
+        }
+        return network;
+    }
+
     private static Work work(Words w) throws ScriptError {
         try {
             return Work.of(w.text("work", "even"));
