Read over: a list asked for before its subscription, names and captures that peers could grow

Change: each mended where it stood; one lock for an access at the door where there were two; waiting is TimeUnit's own. Result: lab, capture, names, admission and links tests pass; 40,000 made-up names of 500 characters leave 8 MiB to be written and the rest counted.

--- a/gateway/src/main/java/milletyoke/gateway/Initiator.java
+++ b/gateway/src/main/java/milletyoke/gateway/Initiator.java
@@ -57,14 +57,14 @@
     private final Ingress ingress;
     private final Net.Listener listener;
     private final LastList lastList;
-    private Subscription subscription;
+    private final Subscription subscription;
     private final ScheduledExecutorService side;
     private final Bounds toTargets;
     private final Following following;
     private Console console;
     private CaptureWriter capture;
 
-    private Initiator(Setup setup, Tap tap, World world, Supplier<Decisions> instead) throws IOException {
+    private Initiator(Setup setup, Tap tap, World world, long seed, Supplier<Decisions> instead) throws IOException {
         this.setup = setup;
         this.world = world;
         Setup.Room r = setup.room();
@@ -83,6 +83,7 @@
         if (setup.fleet() != null) {
             ingress.configure(setup.fleet().fleet());
         }
+        subscription = new Subscription(setup, wire, loop, side, ~seed);
         try {
             listener = wire.listen(setup.listen().host(), setup.listen().port(), Role.INITIATOR, ingress,
                     new Bounds(t.frameBytes(), t.waitingBytes(), t.partialTime(), 0));
@@ -109,11 +110,11 @@
      * @param seed of all its chance: of the decisions, and of waits before it connects again
      * @param instead of the product's decisions, in a lab; null in service
      */
-    public static Initiator start(Setup setup, Tap tap, World world, long seed, Supplier<Decisions> instead) throws IOException, SetupError {
-        Initiator made = new Initiator(setup, tap, world, instead);
+    public static Initiator start(Setup setup, Tap tap, World world, long seed, Supplier<Decisions> instead)
+            throws IOException, SetupError {
+        Initiator made = new Initiator(setup, tap, world, seed, instead);
         TargetList restored = made.lastList == null ? null : made.lastList.load();
         made.loop.start(seed, restored);
-        made.subscription = new Subscription(setup, made.wire, made.loop, made.side, ~seed);
         if (setup.console() != null) {
             try {
                 made.console = new Console(setup.console(), setup, made.loop, made.counts, made.following);
@@ -146,7 +147,7 @@
     }
 
     /**
-     * Keeps what comes in from now on, taken or not, for replay. The daemon is not held up by it: what a slow disk cannot
+     * Keeps what comes in from now on and could be taken, for replay. The daemon is not held up by it: what a slow disk cannot
      * take is left out and counted in the file.
      *
      * @throws IOException where the file cannot be made, or is there already
@@ -222,9 +223,16 @@
     }
 
     private void look(long until, Runnable then) {
-        boolean wait = world.micros() < until && (!loop.hasEnded() || ingress.owesGoodbyes());
-        if (wait) {
+        if (!loop.hasEnded() && world.micros() < until) {
             side.schedule(() -> look(until, then), 5, TimeUnit.MILLISECONDS);
+        } else {
+            lookForGoodbyes(world.micros() + LONGEST_GOODBYE * 1000, then);
+        }
+    }
+
+    private void lookForGoodbyes(long until, Runnable then) {
+        if (ingress.owesGoodbyes() && world.micros() < until) {
+            side.schedule(() -> lookForGoodbyes(until, then), 5, TimeUnit.MILLISECONDS);
         } else {
             end(loop.hasEnded());
             then.run();
@@ -333,7 +341,8 @@
         public void closed(Peer peer, String why) {
             LOG.debug("link to {} is gone: {}", target, why);
             faults.closed("target " + target, peer);
-            loop.tell(ready ? new Told.LinkLost(target, peer, why, peer.tookNothing()) : new Told.DialFailed(target, dial, why));
+            loop.tell(ready ? new Told.LinkLost(target, peer, why, peer.tookNothing())
+                    : new Told.DialFailed(target, dial, why));
         }
     }
 }
--- a/gateway/src/main/java/milletyoke/gateway/ingress/Gate.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Gate.java
@@ -21,13 +21,16 @@
         admission = new Admission(room);
     }
 
-    /** Whether the volume may be named: it is in use, or there is room for one more. */
-    public synchronized boolean knows(Access access, long now) {
-        return volumes.use(access.getVolume(), now);
-    }
-
-    public synchronized Admission.Verdict ask(Line client, Access access) {
-        return admission.ask(client.id(), access.getVolume(), access.getPayload().size());
+    /** A volume counts as named by what gets its place alone: what is turned away costs nothing behind the door. */
+    public synchronized Admission.Verdict ask(Line client, Access access, long now) {
+        if (!volumes.admits(access.getVolume(), now)) {
+            return new Admission.Verdict(Admission.Bound.NAMES, 0);
+        }
+        Admission.Verdict verdict = admission.ask(client.id(), access.getVolume(), access.getPayload().size());
+        if (verdict.admitted()) {
+            volumes.use(access.getVolume(), now);
+        }
+        return verdict;
     }
 
     /** @param stay for how long the place was held (microseconds) */
--- a/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
@@ -76,7 +76,7 @@
         plans = given.plans().stream().map(Provisioning.Plan::name).collect(Collectors.toSet());
     }
 
-    /** What comes in is kept there too, taken or not; null for no more. */
+    /** What comes in and could be taken is kept there too, whether it is or not; null for no more. */
     public void capture(CaptureWriter to) {
         capture = to;
     }
@@ -92,7 +92,7 @@
      * what crossed our goodbye: closed before it is read, it would have no answer, and the reset that follows may take
      * answers with it that are still on their way. Could hold up the end by {@code millis} where a client does not close.
      */
-    public void awaitGoodbyes(long millis) {
+    public void awaitGoodbyes(long millis) throws InterruptedException {
         long until = world.micros() + millis * 1000;
         while (owesGoodbyes() && world.micros() < until) {
             world.sleep(1_000);
@@ -116,13 +116,7 @@
     @Override
     public void got(Peer peer, Frame frame) throws BadFrame {
         switch (frame.getBodyCase()) {
-            case ACCESS -> {
-                CaptureWriter to = capture;
-                if (to != null) {
-                    to.came(world.micros(), frame.getAccess());
-                }
-                access(peer, configured(frame.getAccess()));
-            }
+            case ACCESS -> access(peer, configured(frame.getAccess()));
             case LEAVE -> loop.tell(new Told.Left(peer, frame.getLeave().getNumber()));
             default -> throw new BadFrame("a client sends accesses and leaves, not " + frame.getBodyCase());
         }
@@ -132,7 +126,13 @@
         Condition condition = leaving ? Condition.LEAVING : loop.condition();
         if (!acceptable(a)) {
             reject(peer, a, Reason.UNACCEPTABLE, Count.UNACCEPTABLE, 0);
-        } else if (!condition.admits()) {
+            return;
+        }
+        CaptureWriter to = capture;
+        if (to != null) {
+            to.came(world.micros(), a);
+        }
+        if (!condition.admits()) {
             reject(peer, a, reason(condition), Count.REJECTED_CONDITION, 0);
         } else {
             admit(peer, a);
@@ -148,15 +148,12 @@
     }
 
     private void admit(Peer peer, Access a) {
-        if (!gate.knows(a, world.micros())) {
-            reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, 0);
-            return;
-        }
-        Admission.Verdict verdict = gate.ask(peer, a);
+        long now = world.micros();
+        Admission.Verdict verdict = gate.ask(peer, a, now);
         if (!verdict.admitted()) {
             boolean mayAdvise = setup.deployment().provisioning().allowances().advice();
             reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, mayAdvise ? verdict.retryIn() : 0);
-        } else if (!loop.offer(new Told.Taken(peer, a, world.micros()))) {
+        } else if (!loop.offer(new Told.Taken(peer, a, now))) {
             gate.release(peer, a, 0);
             reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, 0);
         }
--- a/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
@@ -209,7 +209,7 @@
             return false;
         }
         wakeUp();
-        if (ended.getCount() == 0) {
+        if (hasEnded()) {
             turnAway(); // the loop may have looked for the last time before this one was there
         }
         return true;
--- a/lifecycle/src/main/java/milletyoke/admission/Admission.java
+++ b/lifecycle/src/main/java/milletyoke/admission/Admission.java
@@ -35,7 +35,7 @@
     }
 
     /** Why there was no place. */
-    public enum Bound { NONE, DAEMON_PLACES, DAEMON_BYTES, CONNECTION, VOLUME }
+    public enum Bound { NONE, DAEMON_PLACES, DAEMON_BYTES, CONNECTION, VOLUME, NAMES }
 
     /**
      * The answer to one asking.
--- a/lifecycle/src/main/java/milletyoke/admission/Names.java
+++ b/lifecycle/src/main/java/milletyoke/admission/Names.java
@@ -1,14 +1,13 @@
 package milletyoke.admission;
 
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 
 /**
  * Decides whether an access may bring a name that is not in use. A name costs memory behind the door for some time after
  * its last use, whoever made it up, so the names in use are bounded: a new one gets in only while there is room, or once
  * the one longest unused has been so for {@code kept}. Guards the memory of a daemon against peers that never use a name
- * twice. Could harm a deployment of more volumes than the bound, which must be set over them. Knows no clock; one owner at
- * a time may call it.
+ * twice. Could harm a deployment of more volumes than the bound, which must be set over them; and a peer that fills it keeps
+ * names out that were not used lately. Knows no clock; one owner at a time may call it.
  */
 public final class Names {
     private final int most;
@@ -28,22 +27,20 @@
         this.kept = kept;
     }
 
-    /** Uses a name; false where it is new and there is no room for it. @param now microseconds, never going back */
-    public boolean use(String name, long now) {
-        if (!lastUse.containsKey(name) && lastUse.size() >= most && !dropped(now)) {
-            return false;
-        }
-        lastUse.put(name, now);
-        return true;
+    /** Whether a name may be used: it is in use, or there is room for one more. @param now microseconds, never going back */
+    public boolean admits(String name, long now) {
+        return lastUse.containsKey(name) || lastUse.size() < most || now - lastUse.values().iterator().next() >= kept;
     }
 
-    private boolean dropped(long now) {
-        Iterator<Long> longest = lastUse.values().iterator();
-        if (now - longest.next() < kept) {
-            return false;
+    /** @throws IllegalStateException where the name is not admitted */
+    public void use(String name, long now) {
+        if (!admits(name, now)) {
+            throw new IllegalStateException("there is no room for the name " + name);
         }
-        longest.remove();
-        return true;
+        if (!lastUse.containsKey(name) && lastUse.size() >= most) {
+            lastUse.remove(lastUse.keySet().iterator().next());
+        }
+        lastUse.put(name, now);
     }
 
     public int inUse() {
--- a/lifecycle/src/test/java/milletyoke/admission/NamesTest.java
+++ b/lifecycle/src/test/java/milletyoke/admission/NamesTest.java
@@ -8,14 +8,22 @@
 import net.jqwik.api.Example;
 
 class NamesTest {
+    private static boolean used(Names names, String name, long now) {
+        boolean admitted = names.admits(name, now);
+        if (admitted) {
+            names.use(name, now);
+        }
+        return admitted;
+    }
+
     @Example
     void aFloodOfNewNamesStopsAtTheBoundAndThoseInUseGoOn() {
         Names names = new Names(100, 1_000);
         SplittableRandom chance = new SplittableRandom(3);
         int refused = 0;
         for (long now = 0; now < 200_000; now++) {
-            refused += names.use("made-up-" + now, now) ? 0 : 1;
-            assertTrue(names.use("ours-" + chance.nextInt(10), now) || now < 100, "a name in use got in before");
+            refused += used(names, "made-up-" + now, now) ? 0 : 1;
+            assertTrue(used(names, "ours-" + chance.nextInt(10), now) || now < 100, "a name in use got in before");
             assertTrue(names.inUse() <= 100);
         }
         assertTrue(refused > 100_000, "most of the flood stays outside");
@@ -24,11 +32,11 @@
     @Example
     void aNameUnusedForLongEnoughMakesRoom() {
         Names names = new Names(2, 1_000);
-        assertTrue(names.use("a", 0) && names.use("b", 10) && names.use("a", 500));
-        assertFalse(names.use("c", 1_009), "b was used less than its time ago");
-        assertTrue(names.use("c", 1_010));
+        assertTrue(used(names, "a", 0) && used(names, "b", 10) && used(names, "a", 500));
+        assertFalse(used(names, "c", 1_009), "b was used less than its time ago");
+        assertTrue(used(names, "c", 1_010));
         assertEquals(2, names.inUse());
-        assertFalse(names.use("b", 1_011), "and b is new now");
-        assertTrue(names.use("a", 1_012), "a was used since");
+        assertFalse(used(names, "b", 1_011), "and b is new now");
+        assertTrue(used(names, "a", 1_012), "a was used since");
     }
 }
--- a/standins/src/main/java/milletyoke/standins/Clients.java
+++ b/standins/src/main/java/milletyoke/standins/Clients.java
@@ -228,7 +228,7 @@
     }
 
     /** Waits until every door is open; false where one is not in time. */
-    public boolean awaitDoors(long millis) {
+    public boolean awaitDoors(long millis) throws InterruptedException {
         long until = world.micros() + millis * 1000;
         while (doors.stream().anyMatch(d -> d.peer == null)) {
             if (world.micros() > until) {
--- a/wire/src/main/java/milletyoke/wire/Sockets.java
+++ b/wire/src/main/java/milletyoke/wire/Sockets.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.locks.LockSupport;
+import java.util.concurrent.TimeUnit;
 
 /** This machine: its monotonic clock, its sockets, threads of its own for every loop. Holds no state. */
 public final class Sockets implements World {
@@ -37,11 +37,8 @@
     }
 
     @Override
-    public void sleep(long micros) {
-        long until = Wire.micros() + micros;
-        for (long left = micros; left > 0; left = until - Wire.micros()) {
-            LockSupport.parkNanos(left * 1000);
-        }
+    public void sleep(long micros) throws InterruptedException {
+        TimeUnit.MICROSECONDS.sleep(micros);
     }
 
     @Override
--- a/wire/src/main/java/milletyoke/wire/World.java
+++ b/wire/src/main/java/milletyoke/wire/World.java
@@ -23,7 +23,7 @@
     boolean isVirtual();
 
     /** Lets time pass. */
-    void sleep(long micros);
+    void sleep(long micros) throws InterruptedException;
 
     /**
      * Holds back what one participant sends to another, as a cut network does; only where the world is virtual.
--- a/wire/src/main/java/milletyoke/wire/capture/CaptureWriter.java
+++ b/wire/src/main/java/milletyoke/wire/capture/CaptureWriter.java
@@ -17,19 +17,21 @@
 /**
  * Writes what comes in, in blocks. Whoever serves sockets only adds to a block in memory; another thread writes it. Where the
  * disk is behind by {@value #MOST_WAITING} accesses, further ones are left out and counted: a daemon is never held up by
- * its capture. Marks and payloads are not kept, only that there was one of so many bytes.
+ * its capture, and peers that never use a name twice cannot make it remember without bound. Marks and payloads are not kept, only that there was one of so many bytes.
  */
 public final class CaptureWriter implements AutoCloseable {
     static final byte[] BEGINNING = "MYTRAFF1".getBytes(StandardCharsets.US_ASCII);
     private static final int MOST_WAITING = 200_000;
-    /** Names remembered; beyond, they are told anew in each block that needs them. */
-    private static final int MOST_NAMES = 500_000;
+    /** Characters of names that wait to be written, and of names remembered; beyond the latter they are told anew each time. */
+    private static final int MOST_WAITING_TEXT = 8 << 20, MOST_TEXT = 16 << 20;
 
     private final DataOutputStream out;
     private final Map<String, Integer> names = new HashMap<>();
     private Block.Builder block;
     private long last;
     private int nextName = 1;
+    private int text;
+    private int waitingText;
     private IOException failed;
 
     /**
@@ -46,7 +48,7 @@
 
     /** An access came. @param now microseconds, on one clock for all calls */
     public synchronized void came(long now, Access a) {
-        if (block.getCameCount() >= MOST_WAITING) {
+        if (block.getCameCount() >= MOST_WAITING || waitingText >= MOST_WAITING_TEXT) {
             block.setLeftOut(block.getLeftOut() + 1);
             return;
         }
@@ -58,23 +60,31 @@
         last = at;
     }
 
-    private int name(String text) {
-        if (text.isEmpty()) {
+    private int name(String name) {
+        if (name.isEmpty()) {
             return 0;
         }
-        Integer known = names.get(text);
+        Integer known = names.get(name);
         if (known != null) {
             return known;
         }
-        if (names.size() < MOST_NAMES) {
-            names.put(text, nextName);
+        if (text < MOST_TEXT) {
+            text += name.length();
+            names.put(name, nextName);
         }
-        block.addName(text);
+        waitingText += name.length();
+        block.addName(name);
         return nextName++;
     }
 
     /** Writes what has come; not to be called by a thread that serves sockets. */
     public void flush() throws IOException {
+        synchronized (out) { // blocks of two who flush would run into each other
+            write();
+        }
+    }
+
+    private void write() throws IOException {
         Block full;
         synchronized (this) {
             if (failed != null || block.getCameCount() == 0 && block.getLeftOut() == 0) {
@@ -82,6 +92,7 @@
             }
             full = block.build();
             block = Block.newBuilder();
+            waitingText = 0;
         }
         byte[] bytes = full.toByteArray();
         CRC32C crc = new CRC32C();
--- a/wire/src/test/java/milletyoke/wire/CaptureTest.java
+++ b/wire/src/test/java/milletyoke/wire/CaptureTest.java
@@ -53,6 +53,21 @@
         assertEquals("", t.accesses().get(100).extent());
     }
 
+    /** Peers that make up long names cannot make the writer keep them without bound: what is beyond is counted. */
+    @Test
+    void longNamesAreLeftOutAndCounted() throws IOException {
+        Path file = folder.resolve("long");
+        int asked = 40_000;
+        try (CaptureWriter writer = new CaptureWriter(file, "i", 0)) {
+            for (int n = 0; n < asked; n++) {
+                writer.came(n, Access.newBuilder().setVolume("v" + n + "x".repeat(500)).setPlan("p").setCategory("c").build());
+            }
+        }
+        Traffic t = Traffic.read(file);
+        assertEquals(asked, t.accesses().size() + t.leftOut());
+        assertTrue(t.leftOut() > asked / 2 && Files.size(file) < 9 << 20, "8 MiB of names wait at the most");
+    }
+
     @Test
     void cutAnywhereItEndsWithAWholeBlock() throws IOException {
         byte[] all = Files.readAllBytes(written(4, 20));
