--- a/cli/src/main/java/milletyoke/cli/Lab.java
+++ b/cli/src/main/java/milletyoke/cli/Lab.java
@@ -54,12 +54,8 @@
             if (keep != null && (scripts.size() > 1 || bare)) {
                 throw new IllegalArgumentException("--record takes one script, without --bare");
             }
-            List<BadDay> days = new ArrayList<>();
-            for (Path script : scripts) {
-                days.add(Script.read(script)); // all are read before any is played
-            }
             boolean clean = true;
-            for (BadDay day : days) {
+            for (BadDay day : Script.readAll(scripts)) {
                 clean &= play(day);
             }
             return clean ? 0 : 1;
@@ -236,8 +232,7 @@
         public Integer call() throws Exception {
             int far = 0;
             System.out.printf("%-32s %-16s %8s %22s %8s%n", "day", "category", "sockets", "lab, mean and range", "apart");
-            for (Path script : scripts) {
-                BadDay day = Script.read(script);
+            for (BadDay day : Script.readAll(scripts)) {
                 Service sockets;
                 try (Stage stage = new Stage(day, null, false)) {
                     sockets = stage.play(line -> { }).service();
--- a/cli/src/main/java/milletyoke/cli/Rehearse.java
+++ b/cli/src/main/java/milletyoke/cli/Rehearse.java
@@ -48,12 +48,8 @@
         if (keep != null && scripts.size() > 1) {
             throw new IllegalArgumentException("--record takes one script, not " + scripts.size());
         }
-        List<BadDay> days = new java.util.ArrayList<>();
-        for (Path script : scripts) {
-            days.add(Script.read(script)); // all are read before any is played
-        }
         boolean clean = true;
-        for (BadDay day : days) {
+        for (BadDay day : Script.readAll(scripts)) {
             clean &= play(day);
         }
         return clean ? 0 : 1;
--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -15,7 +15,7 @@
  */
 public final class Decide {
     // The design's figures.
-    private static final int BASE_BATCH = 4;
+    private static final int BASE_BATCH = 4, LOTS = 64;
     private static final double FIRST_WINDOW = 4, WINDOW_CEILING = 16;
     private static final double MARGIN_STEPS = 1.5;
     /** An answer is late past this part of the shortest agreed time: at a target no tag order holds. */
@@ -30,7 +30,7 @@
     private static final double JOIN_OWED = 0.75, JOIN_OTHERS = 0.25;
     private static final double LEAST_FURTHER = 0.1;
     /** Trials and rests grow up to this many of the shortest agreed time; no lag outlives it unheard. */
-    private static final long LONGEST_TRIAL = 4, MANY = 64;
+    private static final long LONGEST_TRIAL = 4;
     /** Times between looks at what waits, and at what is only out (microseconds). */
     private static final long LOOK_WAITING = 4_000, LOOK_IDLE = 40_000;
     /** A final answer leaves this long before the client's time is up. */
@@ -309,7 +309,7 @@
 
     /** A new object goes to a target drawn at random, odds in step with the room each is thought to have. */
     private Node draw() {
-        for (long lot = 0; agenda.places() > MANY && lot < MANY; lot++) { // same odds, not over all
+        for (int lot = 0; agenda.places() > LOTS && lot < LOTS; lot++) { // same odds, not over all
             Node n = agenda.lot(chance);
             if (n != null && chance.nextDouble() * WINDOW_CEILING < room(n)) {
                 return n;
--- a/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/script/Script.java
@@ -47,6 +47,15 @@
         return read(path.toString(), String.valueOf(path.getFileName()).replaceAll("\\.day$", ""), text);
     }
 
+    /** All of them, so that none is played where one cannot be read. */
+    public static List<BadDay> readAll(List<Path> paths) throws ScriptError {
+        List<BadDay> days = new ArrayList<>();
+        for (Path path : paths) {
+            days.add(read(path));
+        }
+        return days;
+    }
+
     /** @param file what messages call it */
     public static BadDay read(String file, String name, String text) throws ScriptError {
         Script script = new Script(file, name);
--- a/standins/src/main/java/milletyoke/standins/Clients.java
+++ b/standins/src/main/java/milletyoke/standins/Clients.java
@@ -111,7 +111,7 @@
             }
         }
 
-        /** Asks nothing more there, and closes once all is answered; what is repeated meanwhile waits for another door. */
+        /** Asks nothing more there, and closes once all is answered; what is repeated meanwhile finds no way in here. */
         @Override
         public void goingAway(Peer from, String why) {
             synchronized (this) {
@@ -321,8 +321,8 @@
     }
 
     /**
-     * A program of a closed loop asks, always for the same volume. Its times hide nothing of a standstill from whoever counts answers, but it asks less
-     * while it waits: a closed loop measures what passes, an open one what is suffered (Schroeder, Wierman and Harchol-Balter,
+     * A program of a closed loop asks, always for the same volume. Its times hide nothing of a standstill from whoever counts
+     * answers, but it asks less while it waits: a closed loop measures what passes, an open one what is suffered (Schroeder, Wierman and Harchol-Balter,
      * NSDI 2006).
      */
     private void askAfter(int volume, long micros) {
