The audit no longer falls over a relay sent long after its key's turn

Change: an empty turn ends the look; rule 1 names such a relay. Result: a test that forges just that fails without the change and passes with it; all of AuditTest passes.

--- a/rehearsal/src/main/java/milletyoke/rehearsal/audit/KeyOrder.java
+++ b/rehearsal/src/main/java/milletyoke/rehearsal/audit/KeyOrder.java
@@ -29,7 +29,8 @@
         }
         ArrayDeque<Seen> turn = seen.life.keys.get(seen.access.getExtent());
         String key = seen.access.getExtent();
-        while (turn.peekFirst() != seen && isDone(turn.peekFirst(), sent.at)) {
+        // Guards against one that is sent though its turn is long over and nobody of its key is left: rule 1 names that.
+        while (!turn.isEmpty() && turn.peekFirst() != seen && isDone(turn.peekFirst(), sent.at)) {
             rest(turn.removeFirst(), key, sent.at);
         }
         for (Seen before : turn) {
--- a/rehearsal/src/test/java/milletyoke/rehearsal/AuditTest.java
+++ b/rehearsal/src/test/java/milletyoke/rehearsal/AuditTest.java
@@ -70,6 +70,18 @@
         named(1, "after its final answer", bad);
     }
 
+    /** One of a key whose turn is long over; the audit once fell over it in place of naming it. */
+    @Test
+    void rule1RelayLongAfterItsKeysTurn() {
+        Record relay = relay(r -> r.getFrame().getRelay().getCategory().equals("save") && !r.getWitness().equals("initiator-2")
+                && clean.stream().anyMatch(o -> later(r, 100_000).getAt() < o.getAt() && o.getWitness().equals(r.getWitness())
+                && o.getDirection() == Direction.SENT && o.getFrame().getRelay().getExtent().equals(r.getFrame().getRelay()
+                .getExtent()) && !o.getFrame().getRelay().getId().equals(r.getFrame().getRelay().getId())));
+        List<Record> bad = new ArrayList<>(clean);
+        bad.add(relay.toBuilder().setAt(clean.get(clean.size() - 1).getAt() + 1).build());
+        named(1, "after its final answer", bad);
+    }
+
     @Test
     void rule2OneShotSentTwice() {
         List<Record> bad = new ArrayList<>(clean);
