--- a/cli/src/main/java/milletyoke/cli/Main.java
+++ b/cli/src/main/java/milletyoke/cli/Main.java
@@ -12,7 +12,7 @@
 /** The command line. Ends with 0, with 1 where what was asked for failed, with 2 where it was asked wrongly. */
 @Command(name = "milletyoke", mixinStandardHelpOptions = true, version = "milletyoke 0.2.0",
         description = "A storage gateway that schedules a host's reads and writes over storage nodes.",
-        subcommands = {Demo.class, RunInitiator.class, RunTarget.class, RunDiscovery.class, RunLoad.class,
+        subcommands = {Demo.class, Serve.class, RunInitiator.class, RunTarget.class, RunDiscovery.class, RunLoad.class,
             Rehearse.class, Rates.class, RunAudit.class, Check.class, Ask.Status.class, Ask.Targets.class, Ask.Volumes.class,
             Ask.Events.class, Ask.Drain.class, Ask.Undrain.class, MakeToken.class, Config.class, Lab.class},
         exitCodeListHeading = "%nExit codes:%n",
--- /dev/null
+++ b/cli/src/main/java/milletyoke/cli/Serve.java
@@ -0,0 +1,52 @@
+package milletyoke.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import milletyoke.gateway.setup.SetupError;
+import milletyoke.platform.service.Service;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import sun.misc.Signal;
+
+@Command(name = "serve", mixinStandardHelpOptions = true, description = "Runs one initiator in the platform's service:"
+        + " HTTP entry and exit, set up by the file that LB_CONFIG names. SIGHUP reads it again, SIGTERM ends.")
+final class Serve implements Callable<Integer> {
+    @Option(names = "--config", paramLabel = "FILE", defaultValue = "${env:LB_CONFIG}",
+            description = "Its configuration, JSON (LB_CONFIG).")
+    private Path config;
+
+    @Override
+    public Integer call() throws Exception {
+        if (config == null) {
+            throw new SetupError("LB_CONFIG is not set, and no --config names the file");
+        }
+        return run(config);
+    }
+
+    /** @return 0 where all that was held was answered, 1 where not */
+    static int run(Path config) throws IOException, SetupError, InterruptedException {
+        CountDownLatch asked = new CountDownLatch(1);
+        AtomicReference<Service> started = new AtomicReference<>();
+        // Before it listens, so before anybody is told that it is ready: SIGHUP would end the process, SIGTERM lose what is held.
+        Signal.handle(new Signal("HUP"), s -> {
+            if (started.get() != null) {
+                started.get().reload();
+            }
+        });
+        Signal.handle(new Signal("TERM"), s -> asked.countDown());
+        Signal.handle(new Signal("INT"), s -> asked.countDown());
+        Service service = Service.start(config);
+        started.set(service);
+        while (!asked.await(500, TimeUnit.MILLISECONDS)) {
+            if (service.loop().fault() != null) {
+                System.err.println("milletyoke: the loop failed; all that was held has been broken off");
+                return 1;
+            }
+        }
+        return service.leave() ? 0 : 1;
+    }
+}
--- a/gateway/src/main/java/milletyoke/gateway/Initiator.java
+++ b/gateway/src/main/java/milletyoke/gateway/Initiator.java
@@ -330,9 +330,9 @@
         @Override
         public void got(Peer peer, Frame frame) throws BadFrame {
             switch (frame.getBodyCase()) {
-                case REPLY -> loop.tell(new Told.Replied(peer, frame.getReply()));
+                case REPLY -> loop.tell(new Told.Replied(peer, frame.getReply(), world.micros()));
                 case PROBE_REPLY -> loop.tell(new Told.ProbeReplied(peer, frame.getProbeReply().getNumber(),
-                        frame.getProbeReply().getLoad()));
+                        frame.getProbeReply().getLoad(), world.micros()));
                 default -> throw new BadFrame("a target sends replies, not " + frame.getBodyCase());
             }
         }
@@ -341,7 +341,7 @@
         public void closed(Peer peer, String why) {
             LOG.debug("link to {} is gone: {}", target, why);
             faults.closed("target " + target, peer);
-            loop.tell(ready ? new Told.LinkLost(target, peer, why, peer.tookNothing())
+            loop.tell(ready ? new Told.LinkLost(target, peer, why, peer.tookNothing(), 0)
                     : new Told.DialFailed(target, dial, why));
         }
     }
--- a/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
+++ b/gateway/src/main/java/milletyoke/gateway/ingress/Ingress.java
@@ -2,15 +2,12 @@
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.stream.Collectors;
-import milletyoke.admission.Admission;
 import milletyoke.config.Fleet;
 import milletyoke.gateway.loop.Count;
 import milletyoke.gateway.loop.Counts;
 import milletyoke.gateway.loop.Loop;
 import milletyoke.gateway.loop.Told;
 import milletyoke.gateway.setup.Setup;
-import milletyoke.lifecycle.Condition;
 import milletyoke.port.Provisioning;
 import milletyoke.wire.BadFrame;
 import milletyoke.wire.Line;
@@ -32,15 +29,11 @@
  */
 public final class Ingress implements PeerHandler {
     private static final Logger LOG = LoggerFactory.getLogger(Ingress.class);
-    private static final int LONGEST_NAME = 512, MOST_HOSTS = 100_000;
 
-    private final Setup setup;
     private final World world;
     private final Loop loop;
     private final Counts counts;
-    private volatile Set<String> categories;
-    private volatile Set<String> plans;
-    private final Gate gate;
+    private final Door door;
     private final Faults faults;
     private volatile boolean leaving;
     private volatile Fleet fleet;
@@ -49,12 +42,10 @@
 
     public Ingress(Setup setup, World world, Loop loop, Counts counts, Gate gate, Faults faults) {
         this.faults = faults;
-        this.setup = setup;
         this.world = world;
         this.loop = loop;
         this.counts = counts;
-        this.gate = gate;
-        provision(setup.deployment().provisioning());
+        door = new Door(setup, loop, gate);
     }
 
     /** Where the configuration names a volume, its plan and hosts are what that says, whatever a client says. */
@@ -72,8 +63,7 @@
 
     /** Accesses may name these categories and plans from now on; the decisions know them already. */
     public void provision(Provisioning given) {
-        categories = given.categories().stream().map(Provisioning.Category::name).collect(Collectors.toSet());
-        plans = given.plans().stream().map(Provisioning.Plan::name).collect(Collectors.toSet());
+        door.provision(given);
     }
 
     /** What comes in and could be taken is kept there too, whether it is or not; null for no more. */
@@ -84,6 +74,7 @@
     /** From now on nothing new is taken, and every client is asked to close once it has its answers. */
     public void leave() {
         leaving = true;
+        door.leave();
         clients.forEach(c -> c.goingAway("this initiator leaves"));
     }
 
@@ -123,8 +114,7 @@
     }
 
     private void access(Peer peer, Access a) {
-        Condition condition = leaving ? Condition.LEAVING : loop.condition();
-        if (!acceptable(a)) {
+        if (!door.acceptable(a)) {
             reject(peer, a, Reason.UNACCEPTABLE, Count.UNACCEPTABLE, 0);
             return;
         }
@@ -132,43 +122,12 @@
         if (to != null) {
             to.came(world.micros(), a);
         }
-        if (!condition.admits()) {
-            reject(peer, a, reason(condition), Count.REJECTED_CONDITION, 0);
-        } else {
-            admit(peer, a);
+        Door.Refusal refusal = door.admit(peer, a, world.micros());
+        if (refusal != null) {
+            reject(peer, a, refusal.reason(), refusal.count(), refusal.retryIn());
         }
     }
 
-    private static Reason reason(Condition condition) {
-        return switch (condition) {
-            case LEAVING -> Reason.LEAVING;
-            case DRAINING -> Reason.DRAINED;
-            default -> Reason.NOT_READY;
-        };
-    }
-
-    private void admit(Peer peer, Access a) {
-        long now = world.micros();
-        Admission.Verdict verdict = gate.ask(peer, a, now);
-        if (!verdict.admitted()) {
-            boolean mayAdvise = setup.deployment().provisioning().allowances().advice();
-            reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, mayAdvise ? verdict.retryIn() : 0);
-        } else if (!loop.offer(new Told.Taken(peer, a, now))) {
-            gate.release(peer, a, 0);
-            reject(peer, a, Reason.NO_PLACE, Count.NO_PLACE, 0);
-        }
-    }
-
-    /** What would make the decisions keep state without bound, or has no meaning to them. */
-    private boolean acceptable(Access a) {
-        return categories.contains(a.getCategory()) && plans.contains(a.getPlan()) && !a.getVolume().isEmpty()
-                && a.getVolume().length() <= LONGEST_NAME && a.getExtent().length() <= LONGEST_NAME
-                && a.getMark().length() <= LONGEST_NAME && a.getUnits() > 0 && a.getUnits() <= setup.room().largest()
-                && a.getTimeLeft() > 0 && a.getTimeLeft() <= setup.room().longest()
-                && a.getHosts() >= 0 && a.getHosts() <= MOST_HOSTS
-                && (!a.hasShard() || a.getShard() >= 0 && a.getShard() < setup.room().shards());
-    }
-
     private void reject(Peer peer, Access a, Reason reason, Count count, long retryIn) {
         counts.add(count);
         peer.send(Frame.newBuilder().setAnswer(Answer.newBuilder().setNumber(a.getNumber())
--- a/gateway/src/main/java/milletyoke/gateway/link/Links.java
+++ b/gateway/src/main/java/milletyoke/gateway/link/Links.java
@@ -127,7 +127,9 @@
             return;
         }
         if (out.sent()) {
-            outbox.post(out.conn.line, Frame.newBuilder().setCancel(Cancel.newBuilder().setNumber(out.number)).build());
+            if (!exclusive()) {
+                outbox.post(out.conn.line, Frame.newBuilder().setCancel(Cancel.newBuilder().setNumber(out.number)).build());
+            }
             end(out, Outcome.CANCELLED, null, null);
         } else {
             end(out, Outcome.MOOT, null, null);
@@ -144,7 +146,7 @@
             if (link.conns.size() + link.dialling.size() < transport.connections()) {
                 dial(link);
             }
-            if (link.dialling.isEmpty()) {
+            if (link.dialling.isEmpty() && !(exclusive() && hasOpen(link))) {
                 end(out, Outcome.NO_CONNECTION, null, null);
                 return;
             }
@@ -153,12 +155,25 @@
         byDue.add(out);
     }
 
-    /** Sends on the connection with the fewest out; false where none has room. */
+    /**
+     * Whether a connection carries one relay at a time: then one that was given up is ended by closing its connection, and
+     * what finds none free waits for one, for as long as it may wait for a new one.
+     */
+    private boolean exclusive() {
+        return transport.streams() == 1;
+    }
+
+    /**
+     * Sends on the connection with the fewest out; false where none has room. Of those that carry one at a time the one that
+     * rested longest: a target that sends more than it owes shows it there before the next relay could take it for its reply.
+     */
     private boolean transmit(Link link, Out out) {
         Conn least = null;
         for (Conn c : link.conns) {
             boolean room = c.outs.size() < transport.streams() && c.line.isOpen();
-            least = room && (least == null || c.outs.size() < least.outs.size()) ? c : least;
+            boolean better = least == null || c.outs.size() < least.outs.size()
+                    || exclusive() && c.lastUse < least.lastUse;
+            least = room && better ? c : least;
         }
         if (least == null || !outbox.post(least.line, out.frame)) {
             return false;
@@ -170,6 +185,10 @@
         return true;
     }
 
+    private static boolean hasOpen(Link link) {
+        return link.conns.stream().anyMatch(c -> c.line.isOpen());
+    }
+
     private void dial(Link link) {
         long number = nextDial++;
         counts.add(Count.CONNECTS);
@@ -230,8 +249,9 @@
      * @param refused the target said that it took nothing of what was sent there. Guards one-shot accesses that were handed
      *     to a connection over the target's bound, which were broken off as unsure. Could do harm where a target says so of
      *     a connection on which it has answered, so that is not believed.
+     * @param unwritten the relay whose last byte never left this machine; 0 for none
      */
-    public void lost(long time, String target, Line line, boolean refused) {
+    public void lost(long time, String target, Line line, boolean refused, long unwritten) {
         now = time;
         Conn conn = conns.remove(line);
         if (conn == null) {
@@ -243,22 +263,27 @@
             counts.add(Count.CONNECTIONS_LOST);
         }
         Outcome became = refused && !conn.heard ? Outcome.NO_CONNECTION : Outcome.RESET;
-        new ArrayList<>(conn.outs.values()).forEach(out -> end(out, became, null, null));
+        new ArrayList<>(conn.outs.values())
+                .forEach(out -> end(out, out.number == unwritten ? Outcome.NO_CONNECTION : became, null, null));
+        if (!link.waiting.isEmpty() && !hasOpen(link)) {
+            failWaiting(link); // nothing is left that could come free
+        }
     }
 
     /** Drops a reply to what is no longer out: given up, cancelled, or answered already. */
-    public void replied(long time, Line line, Reply reply) {
+    public void replied(long time, long at, Line line, Reply reply) {
         now = time;
         Conn conn = conns.get(line);
         Out out = conn == null ? null : conn.outs.get(reply.getNumber());
         if (conn != null) {
             conn.heard = true;
         }
-        if (out == null || out.isProbe()) {
+        if (out == null) {
             counts.add(Count.LATE_REPLIES);
             return;
         }
         conn.lastUse = now;
+        out.endedAt = at;
         end(out, outcome(reply), reply.hasLoad() ? reply.getLoad() : null, reply.getPayload());
     }
 
@@ -272,7 +297,7 @@
         };
     }
 
-    public void probeReplied(long time, Line line, long number, Load load) {
+    public void probeReplied(long time, long at, Line line, long number, Load load) {
         now = time;
         Conn conn = conns.get(line);
         Out out = conn == null ? null : conn.outs.get(number);
@@ -284,6 +309,7 @@
             return;
         }
         conn.lastUse = now;
+        out.endedAt = at;
         end(out, Outcome.SUCCEEDED, load, null);
     }
 
@@ -352,7 +378,7 @@
         if (out.sent()) {
             out.conn.outs.remove(out.number);
         }
-        long lag = now - out.orderedAt;
+        long lag = Math.max(0, (out.endedAt > 0 ? out.endedAt : now) - out.orderedAt);
         if (out.isProbe()) {
             double waiting = load != null && load.hasWaiting() ? load.getWaiting() : -1;
             outcomes.probeEnded(out.target, outcome, lag, waiting);
@@ -360,6 +386,20 @@
             relays.remove(key(out.id, out.attempt));
             outcomes.relayEnded(out.id, out.attempt, outcome, lag, load, payload);
         }
+        if (exclusive() && out.sent()) {
+            freed(out, outcome);
+        }
+    }
+
+    /** A given-up relay's connection is ended, for its reply may yet come; any other takes what waits. */
+    private void freed(Out out, Outcome outcome) {
+        if (outcome == Outcome.CANCELLED || outcome == Outcome.TIMED_OUT) {
+            out.conn.line.close("what was sent there was given up");
+        }
+        Link link = links.get(out.target);
+        if (link != null && !link.waiting.isEmpty()) {
+            serveWaiting(link);
+        }
     }
 
     private static String key(String id, int attempt) {
--- a/gateway/src/main/java/milletyoke/gateway/link/Out.java
+++ b/gateway/src/main/java/milletyoke/gateway/link/Out.java
@@ -16,6 +16,8 @@
     Links.Conn conn;
     long number;
     boolean over;
+    /** When its reply came, on the loop's clock; 0 where none did. */
+    long endedAt;
 
     Out(String target, String id, int attempt, long orderedAt, long giveUpAt, long connectBy) {
         this.target = target;
--- a/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
@@ -69,6 +69,11 @@
 
         /** Places taken. */
         int placesTaken();
+
+        /** Whether anybody may look at pictures and rows; where nobody can, none are made and nothing is kept for them. */
+        default boolean isWatched() {
+            return true;
+        }
     }
 
     private final Setup setup;
@@ -132,7 +137,7 @@
         roomForAccesses = queue.capacity() - queue.capacity() / 4;
         lifecycle = new Lifecycle(new Lifecycle.Marks(setup.room().listAge(), setup.room().full(),
                 setup.room().eased(), 1_000_000));
-        accounts = new Accounts(setup.deployment().provisioning());
+        accounts = new Accounts(setup.deployment().provisioning(), around.isWatched());
         painter = new Painter(setup.name(), decide, accounts);
         ledger = new Ledger(setup.name() + "." + clock.getAsLong() + ".", setup.deployment().answerSlack(), counts,
                 around::freePlace, accounts, clock, outbox);
@@ -433,11 +438,11 @@
         } else if (told instanceof Told.DialFailed t) {
             links.dialFailed(now, t.target(), t.dial(), t.why());
         } else if (told instanceof Told.LinkLost t) {
-            links.lost(now, t.target(), t.line(), t.refused());
+            links.lost(now, t.target(), t.line(), t.refused(), t.unwritten());
         } else if (told instanceof Told.Replied t) {
-            links.replied(now, t.line(), t.reply());
+            links.replied(now, t.at(), t.line(), t.reply());
         } else if (told instanceof Told.ProbeReplied t) {
-            links.probeReplied(now, t.line(), t.number(), t.load());
+            links.probeReplied(now, t.at(), t.line(), t.number(), t.load());
         } else if (told instanceof Told.Listed t) {
             counts.add(Count.LISTS);
             ledger.happened(roster.listed(now, t.list(), false));
@@ -486,7 +491,7 @@
         paintAt = now + PAINT_EVERY;
         fact(new Fact.Used(around.roomUsed()));
         fact(new Fact.Tick());
-        if (drive != null && picture != null) {
+        if (picture != null && (drive != null || !around.isWatched())) {
             return; // nobody looks in a lab, and a picture costs what the targets and volumes are many
         }
         picture = painter.paint(now, new Painter.Loop(lifecycle, around.placesTaken(), ledger.held(), links.out(),
--- a/gateway/src/main/java/milletyoke/gateway/loop/Told.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Told.java
@@ -21,12 +21,17 @@
 
     record DialFailed(String target, long dial, String why) implements Told {}
 
-    /** @param refused the target said that it took nothing of what was sent there */
-    record LinkLost(String target, Line line, String why, boolean refused) implements Told {}
+    /**
+     * @param refused the target said that it took nothing of what was sent there
+     * @param unwritten the relay or probe whose last byte provably never left this machine; 0 for none
+     */
+    record LinkLost(String target, Line line, String why, boolean refused, long unwritten) implements Told {}
 
-    record Replied(Line line, Reply reply) implements Told {}
+    /** @param at when its last byte was read, on the loop's clock: the loop may get to it later */
+    record Replied(Line line, Reply reply, long at) implements Told {}
 
-    record ProbeReplied(Line line, long number, Load load) implements Told {}
+    /** @param at as for a reply */
+    record ProbeReplied(Line line, long number, Load load, long at) implements Told {}
 
     record Listed(TargetList list) implements Told {}
 
--- a/gateway/src/main/java/milletyoke/gateway/picture/Accounts.java
+++ b/gateway/src/main/java/milletyoke/gateway/picture/Accounts.java
@@ -155,9 +155,16 @@
             new Kind("volume:"), targetSeries = new Kind("target:");
     private final List<Kind> kinds = List.of(categorySeries, planSeries, volumeSeries, targetSeries);
     private final AtomicReferenceArray<Row> ring = new AtomicReferenceArray<>(SECONDS);
+    private final boolean kept;
     private long second = -1;
 
     public Accounts(Provisioning given) {
+        this(given, true);
+    }
+
+    /** @param kept false where nobody will ever look: then nothing is counted and nothing grows */
+    public Accounts(Provisioning given, boolean kept) {
+        this.kept = kept;
         provision(given);
     }
 
@@ -174,6 +181,9 @@
     public enum End { ANSWERED, REJECTED, BROKEN_OFF, LEFT }
 
     public void asked(long now, String category, String plan, String volume) {
+        if (!kept) {
+            return;
+        }
         turn(now);
         count(categories.get(category), categorySeries.of(category), a -> a.asked++, s -> s.asked++);
         count(plans.get(plan), planSeries.of(plan), a -> a.asked++, s -> s.asked++);
@@ -187,6 +197,9 @@
 
     /** @param took microseconds from its coming in */
     public void ended(long now, String category, String plan, String volume, End how, long took) {
+        if (!kept) {
+            return;
+        }
         turn(now);
         boolean inTime = how == End.ANSWERED && took <= agreed.get(category);
         end(categories.get(category), categorySeries.of(category), how, inTime, took);
@@ -200,6 +213,9 @@
     }
 
     public void relayed(long now, String target) {
+        if (!kept) {
+            return;
+        }
         turn(now);
         Account a = targets.size() < 4 * MOST_SERIES ? targets.computeIfAbsent(target, t -> new Account())
                 : targets.get(target);
@@ -208,6 +224,9 @@
 
     /** @param lag microseconds */
     public void relayEnded(long now, String target, End how, long lag) {
+        if (!kept) {
+            return;
+        }
         turn(now);
         end(targets.get(target), targetSeries.of(target), how, how == End.ANSWERED, lag);
     }
--- a/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
@@ -109,7 +109,7 @@
     }
 
     private void reply(long now, Fake line, int sent, milletyoke.wire.proto.Outcome outcome) {
-        links.replied(now, line, Reply.newBuilder().setNumber(line.sent.get(sent).getRelay().getNumber())
+        links.replied(now, now, line, Reply.newBuilder().setNumber(line.sent.get(sent).getRelay().getNumber())
                 .setOutcome(outcome).build());
     }
 
@@ -173,7 +173,7 @@
         Fake line = up(10, lastDial());
         line.refuses = true; // known to be closed, though nobody was told yet
         relay(11, "unsent");
-        links.lost(20, "a", line, false);
+        links.lost(20, "a", line, false, 0);
         assertEquals(Map.of("sent", Outcome.RESET), ended);
         up(30, lastDial());
         assertEquals("unsent", lines.get(1).sent.get(0).getRelay().getId());
@@ -185,15 +185,15 @@
         links.listed("a", new Address("h", 1));
         relay(0, "never ran");
         Fake line = up(10, lastDial());
-        links.lost(20, "a", line, true);
+        links.lost(20, "a", line, true, 0);
         assertEquals(Map.of("never ran", Outcome.NO_CONNECTION), ended);
         ended.clear();
         relay(30, "answered");
         relay(31, "unsure");
         Fake other = up(40, lastDial());
-        links.replied(50, other, Reply.newBuilder().setNumber(other.sent.get(0).getRelay().getNumber())
+        links.replied(50, 50, other, Reply.newBuilder().setNumber(other.sent.get(0).getRelay().getNumber())
                 .setOutcome(milletyoke.wire.proto.Outcome.SUCCEEDED).build());
-        links.lost(60, "a", other, true);
+        links.lost(60, "a", other, true, 0);
         assertEquals(Map.of("answered", Outcome.SUCCEEDED, "unsure", Outcome.RESET), ended);
     }
 
@@ -233,7 +233,7 @@
         links.listed("a", new Address("h", 1));
         links.probe(0, "a");
         Fake line = up(1, lastDial());
-        links.probeReplied(5, line, line.sent.get(0).getProbe().getNumber(), Load.newBuilder().setWaiting(7).build());
+        links.probeReplied(5, 5, line, line.sent.get(0).getProbe().getNumber(), Load.newBuilder().setWaiting(7).build());
         links.probe(10, "a");
         links.look(10 + PROBE);
         links.probe(20_000, "b");
@@ -271,14 +271,14 @@
                 case 5, 6 -> {
                     if (line != null && line.open && !line.sent.isEmpty()) {
                         Frame frame = line.sent.get(line.sent.size() - 1 - chance.nextInt(Math.min(4, line.sent.size())));
-                        links.replied(now, line, Reply.newBuilder().setNumber(frame.getRelay().getNumber())
+                        links.replied(now, now, line, Reply.newBuilder().setNumber(frame.getRelay().getNumber())
                                 .setOutcomeValue(1 + chance.nextInt(8)).build());
                     }
                 }
                 case 7 -> {
                     if (line != null && chance.nextInt(4) == 0) {
                         line.open = false;
-                        links.lost(now, "a", line, false);
+                        links.lost(now, "a", line, false, 0);
                     }
                 }
                 default -> links.look(now);
--- /dev/null
+++ b/http/src/main/java/milletyoke/http/Heads.java
@@ -0,0 +1,64 @@
+package milletyoke.http;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** A message on its way out: a start line, fields and a body of known length in one array. */
+public final class Heads {
+    private final StringBuilder head = new StringBuilder(256);
+
+    private Heads(String start) {
+        head.append(start).append("\r\n");
+    }
+
+    public static Heads request(String method, String target) {
+        return new Heads(method + " " + target + " HTTP/1.1");
+    }
+
+    public static Heads answer(int status) {
+        return new Heads("HTTP/1.1 " + status + " " + reason(status));
+    }
+
+    private static String reason(int status) {
+        return switch (status) {
+            case 200 -> "OK";
+            case 400 -> "Bad Request";
+            case 404 -> "Not Found";
+            case 405 -> "Method Not Allowed";
+            case 408 -> "Request Timeout";
+            case 409 -> "Conflict";
+            case 413 -> "Content Too Large";
+            case 429 -> "Too Many Requests";
+            case 431 -> "Request Header Fields Too Large";
+            case 500 -> "Internal Server Error";
+            case 501 -> "Not Implemented";
+            case 502 -> "Bad Gateway";
+            case 503 -> "Service Unavailable";
+            case 504 -> "Gateway Timeout";
+            case 505 -> "HTTP Version Not Supported";
+            default -> "";
+        };
+    }
+
+    /** The value must be free of line ends: what came through {@link Decoder} is. */
+    public Heads with(String name, String value) {
+        head.append(name).append(": ").append(value).append("\r\n");
+        return this;
+    }
+
+    /** Fields that are lines already, each ended. */
+    public Heads lines(String lines) {
+        head.append(lines);
+        return this;
+    }
+
+    /** Ends the message; the length of the body is told where there can be one. */
+    public ByteBuffer body(byte[] body, boolean sayLength) {
+        if (sayLength) {
+            with("Content-Length", Integer.toString(body.length));
+        }
+        byte[] start = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+        ByteBuffer all = ByteBuffer.allocate(start.length + body.length);
+        return all.put(start).put(body).flip();
+    }
+}
--- /dev/null
+++ b/http/src/main/java/milletyoke/http/HttpNet.java
@@ -0,0 +1,175 @@
+package milletyoke.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.GrizzlyFuture;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/** Sockets that carry bytes both ways, served by one thread. */
+public final class HttpNet implements AutoCloseable {
+    private static final int READ_AT_ONCE = 16 * 1024, BACKLOG = 1024;
+    private static final Attribute<HttpConn> CONN =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("milletyoke.http");
+
+    /** One end of one connection. All but {@code closed} are called on the thread of the sockets. */
+    public interface Handler {
+        void opened(HttpConn conn);
+
+        /** Bytes came; what is not taken is lost. */
+        void read(HttpConn conn, ByteBuffer in);
+
+        /** Called once, on any thread; nothing comes after it. */
+        void closed(HttpConn conn, String why);
+    }
+
+    /** A bound address. */
+    public interface Listener {
+        int port();
+
+        /** Takes no further connections. */
+        void stop();
+    }
+
+    /** A connection in the making, which can be given up. */
+    public interface Attempt {
+        void giveUp();
+    }
+
+    private final AtomicInteger ids = new AtomicInteger();
+    private final TCPNIOTransport transport;
+
+    public HttpNet(String name) throws IOException {
+        TCPNIOTransportBuilder builder = TCPNIOTransportBuilder.newInstance()
+                .setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName(name + "-io")
+                        .setCorePoolSize(1).setMaxPoolSize(1).setDaemon(true))
+                .setTcpNoDelay(true).setReuseAddress(true).setServerConnectionBackLog(BACKLOG)
+                .setReadBufferSize(READ_AT_ONCE);
+        builder.setSelectorRunnersCount(1);
+        transport = builder.build();
+        transport.start();
+    }
+
+    /** @throws IOException where the address cannot be had, with a message that names it */
+    public Listener listen(String host, int port, Supplier<Handler> handlers) throws IOException {
+        try {
+            TCPNIOServerConnection server = (TCPNIOServerConnection) TCPNIOBindingHandler.builder(transport)
+                    .processor(chain(handlers)).build().bind(new InetSocketAddress(host, port), BACKLOG);
+            return new Bound(transport, server);
+        } catch (IOException failed) {
+            throw new IOException("cannot listen at " + host + ":" + port + ": " + failed.getMessage(), failed);
+        }
+    }
+
+    private record Bound(TCPNIOTransport transport, TCPNIOServerConnection server) implements Listener {
+        @Override
+        public int port() {
+            return ((InetSocketAddress) server.getLocalAddress()).getPort();
+        }
+
+        @Override
+        public void stop() {
+            transport.unbind(server);
+        }
+    }
+
+    /** Connects without waiting; the handler's opened tells of success, {@code failed} of the reason why not. */
+    public Attempt connect(String host, int port, Handler handler, Consumer<String> failed) {
+        var connector = TCPNIOConnectorHandler.builder(transport).processor(chain(() -> handler)).build();
+        GrizzlyFuture<Connection> made = connector.connect(new InetSocketAddress(host, port));
+        made.addCompletionHandler(new EmptyCompletionHandler<>() {
+            @Override
+            public void failed(Throwable cause) {
+                failed.accept(String.valueOf(cause.getMessage()));
+            }
+
+            @Override
+            public void cancelled() {
+                failed.accept("given up");
+            }
+        });
+        // Guards descriptors against a machine that is cut off: its socket would wait for the system's own time, minutes.
+        return () -> made.cancel(false);
+    }
+
+    private FilterChain chain(Supplier<Handler> handlers) {
+        return FilterChainBuilder.stateless().add(new TransportFilter()).add(new Bytes(handlers)).build();
+    }
+
+    /** The last filter: gives each connection its handler. */
+    private final class Bytes extends BaseFilter {
+        private final Supplier<Handler> handlers;
+
+        Bytes(Supplier<Handler> handlers) {
+            this.handlers = handlers;
+        }
+
+        @Override
+        public NextAction handleAccept(FilterChainContext ctx) {
+            opened(ctx.getConnection());
+            return ctx.getInvokeAction();
+        }
+
+        @Override
+        public NextAction handleConnect(FilterChainContext ctx) {
+            opened(ctx.getConnection());
+            return ctx.getInvokeAction();
+        }
+
+        private void opened(Connection<?> connection) {
+            HttpConn conn = new HttpConn(ids.incrementAndGet(), connection, handlers.get());
+            CONN.set(connection, conn);
+            connection.addCloseListener((closeable, type) -> conn.ended("closed (" + type + ")"));
+            conn.handler().opened(conn);
+        }
+
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) {
+            Buffer bytes = ctx.getMessage();
+            HttpConn conn = CONN.get(ctx.getConnection());
+            if (conn != null && conn.isOpen()) {
+                conn.handler().read(conn, bytes.toByteBuffer());
+            }
+            bytes.tryDispose();
+            return ctx.getStopAction();
+        }
+
+        @Override
+        public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
+            HttpConn conn = CONN.get(ctx.getConnection());
+            if (conn != null) {
+                conn.close("reading failed: " + error);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            transport.shutdownNow();
+        } catch (IOException | RuntimeException late) {
+            // its sockets are closed; there is nothing left to release
+        }
+    }
+}
