--- a/cli/src/main/java/milletyoke/cli/Logs.java
+++ b/cli/src/main/java/milletyoke/cli/Logs.java
@@ -19,6 +19,20 @@
     private Logs() {
     }
 
+    /**
+     * Lines of text by the plainest library there is, each behind its milliseconds since the start. Guards the seconds after a
+     * restart on part of a core: the other library takes a third of the time to start.
+     */
+    static void beginPlain() {
+        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
+        System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "warn");
+        System.setProperty("org.slf4j.simpleLogger.log.milletyoke", "info");
+        java.util.logging.Logger.getLogger("org.glassfish.grizzly").setLevel(java.util.logging.Level.SEVERE);
+    }
+
     static void begin(Form form, Depth depth) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
--- a/cli/src/main/java/milletyoke/cli/Main.java
+++ b/cli/src/main/java/milletyoke/cli/Main.java
@@ -27,6 +27,8 @@
     private Logs.Depth level;
 
     public static void main(String[] args) {
+        System.setProperty("slf4j.internal.verbosity", "WARN");
+        System.setProperty("slf4j.provider", "ch.qos.logback.classic.spi.LogbackServiceProvider");
         if (args.length == 1 && (args[0].equals("serve") || args[0].equals("practise"))) {
             System.exit(atOnce(args[0]));
         }
@@ -55,7 +57,7 @@
      * the seconds after a restart on part of a core, in which clients have nobody.
      */
     private static int atOnce(String command) {
-        Logs.begin(Logs.Form.text, Logs.Depth.info);
+        Logs.beginPlain();
         try {
             return command.equals("serve") ? new Serve().atOnce() : new Practise().call();
         } catch (SetupError unusable) {
--- a/http/src/main/java/milletyoke/http/Heads.java
+++ b/http/src/main/java/milletyoke/http/Heads.java
@@ -46,6 +46,13 @@
         return this;
     }
 
+    /** Seconds with three decimals, rounded down; below one millisecond what is left of it is told as one. */
+    public Heads withSeconds(String name, long micros) {
+        long millis = Math.max(1, micros / 1000);
+        String part = Long.toString(millis % 1000 + 1000);
+        return with(name, millis / 1000 + "." + part.substring(1));
+    }
+
     /** Fields that are lines already, each ended. */
     public Heads lines(String lines) {
         head.append(lines);
