--- a/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
@@ -294,4 +294,112 @@
             }
         }
     }
+
+    // ---- One relay at a time on a connection ----
+
+    private final Links single = new Links(new Transport(CONNECT, IDLE, 2, 1, PROBE, 1 << 20, 1 << 20, 1, 1), this, this,
+            new Counts(), new Outbox());
+
+    private Fake upSingle(long now, long dial) {
+        Fake line = new Fake(100 + lines.size(), dials.remove(dial));
+        lines.add(line);
+        single.dialled(now, line.target, dial, line);
+        return line;
+    }
+
+    private void relaySingle(long now, String id, long giveUpAt) {
+        single.relay(now, "a", id, 0, giveUpAt, Relay.newBuilder().setId(id));
+    }
+
+    private void replySingle(long now, Fake line, int sent) {
+        single.replied(now, now, line, Reply.newBuilder().setNumber(line.sent.get(sent).getRelay().getNumber())
+                .setOutcome(milletyoke.wire.proto.Outcome.SUCCEEDED).build());
+    }
+
+    @Test
+    void aRelayGivenUpEndsItsConnection() {
+        single.listed("a", new Address("127.0.0.1", 1));
+        relaySingle(0, "x", 500);
+        Fake line = upSingle(1, lastDial());
+        single.look(500);
+        assertEquals(Outcome.TIMED_OUT, ended.get("x"));
+        assertEquals(false, line.open);
+        relaySingle(600, "y", 5_000);
+        Fake other = upSingle(601, lastDial());
+        single.cancel(700, "y", 0);
+        assertEquals(Outcome.CANCELLED, ended.get("y"));
+        assertEquals(false, other.open);
+        assertEquals(1, other.sent.size());
+    }
+
+    /** With as many connections as there may be, a relay waits for one to come free, and no longer than for a new one. */
+    @Test
+    void whatFindsNoConnectionFreeTakesTheNextOne() {
+        single.listed("a", new Address("127.0.0.1", 1));
+        relaySingle(0, "x", 5_000);
+        relaySingle(0, "y", 5_000);
+        List<Long> both = List.copyOf(dials.keySet());
+        Fake one = upSingle(1, both.get(0));
+        Fake two = upSingle(1, both.get(1));
+        relaySingle(10, "z", 5_000);
+        relaySingle(10, "late", 5_000);
+        assertTrue(dials.isEmpty());
+        replySingle(20, two, 0);
+        assertEquals(2, two.sent.size());
+        assertEquals("z", two.sent.get(1).getRelay().getId());
+        single.look(10 + CONNECT);
+        assertEquals(Outcome.NO_CONNECTION, ended.get("late"));
+        assertEquals(1, one.sent.size());
+    }
+
+    /** The one that rested longest goes first: what a target sends beyond its answer shows there before the next is asked. */
+    @Test
+    void theConnectionThatRestedLongestGoesFirst() {
+        single.listed("a", new Address("127.0.0.1", 1));
+        relaySingle(0, "x", 5_000);
+        relaySingle(0, "y", 5_000);
+        List<Long> both = List.copyOf(dials.keySet());
+        Fake one = upSingle(1, both.get(0));
+        Fake two = upSingle(1, both.get(1));
+        replySingle(20, two, 0);
+        replySingle(30, one, 0);
+        relaySingle(40, "z", 5_000);
+        assertEquals(2, two.sent.size());
+    }
+
+    @Test
+    void onlyWhatNeverLeftIsNoConnection() {
+        single.listed("a", new Address("127.0.0.1", 1));
+        relaySingle(0, "x", 5_000);
+        Fake line = upSingle(1, lastDial());
+        single.lost(10, "a", line, false, line.sent.get(0).getRelay().getNumber());
+        assertEquals(Outcome.NO_CONNECTION, ended.get("x"));
+        relaySingle(20, "y", 5_000);
+        Fake other = upSingle(21, lastDial());
+        single.lost(30, "a", other, false, 0);
+        assertEquals(Outcome.RESET, ended.get("y"));
+    }
+
+    /** The loop may get to a reply long after it was read: the lag is the target's, not the loop's. */
+    @Test
+    void theLagIsUpToWhenTheReplyWasRead() {
+        List<Long> lags = new ArrayList<>();
+        Links timed = new Links(new Transport(CONNECT, IDLE, 2, 1, PROBE, 1 << 20, 1 << 20, 1, 1), this, new Outcomes() {
+            @Override
+            public void relayEnded(String id, int attempt, Outcome outcome, long lag, Load load, ByteString payload) {
+                lags.add(lag);
+            }
+
+            @Override
+            public void probeEnded(String target, Outcome outcome, long lag, double waiting) {
+            }
+        }, new Counts(), new Outbox());
+        timed.listed("a", new Address("127.0.0.1", 1));
+        timed.relay(0, "a", "x", 0, 50_000, Relay.newBuilder().setId("x"));
+        Fake line = new Fake(1, "a");
+        timed.dialled(10, "a", lastDial(), line);
+        timed.replied(40_000, 700, line, Reply.newBuilder().setNumber(line.sent.get(0).getRelay().getNumber())
+                .setOutcome(milletyoke.wire.proto.Outcome.SUCCEEDED).build());
+        assertEquals(List.of(700L), lags);
+    }
 }
