--- a/cli/src/main/java/milletyoke/cli/Logs.java
+++ b/cli/src/main/java/milletyoke/cli/Logs.java
@@ -29,7 +29,8 @@
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "warn");
-        System.setProperty("org.slf4j.simpleLogger.log.milletyoke", "info");
+        String least = System.getenv().getOrDefault("MILLETYOKE_LOG", "info");
+        System.setProperty("org.slf4j.simpleLogger.log.milletyoke", least);
         java.util.logging.Logger.getLogger("org.glassfish.grizzly").setLevel(java.util.logging.Level.SEVERE);
     }
 
--- /dev/null
+++ b/http/src/main/java/milletyoke/http/Allowance.java
@@ -0,0 +1,31 @@
+package milletyoke.http;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Bytes that many connections share, so that each may need much while all together stay bounded. Any thread may ask. */
+public final class Allowance {
+    private final long most;
+    private final AtomicLong taken = new AtomicLong();
+
+    /** @param most bytes */
+    public Allowance(long most) {
+        this.most = most;
+    }
+
+    /** Takes so many bytes, or none and answers false. */
+    public boolean take(long bytes) {
+        if (taken.addAndGet(bytes) > most) {
+            taken.addAndGet(-bytes);
+            return false;
+        }
+        return true;
+    }
+
+    public void giveBack(long bytes) {
+        taken.addAndGet(-bytes);
+    }
+
+    public long taken() {
+        return taken.get();
+    }
+}
--- a/http/src/main/java/milletyoke/http/Decoder.java
+++ b/http/src/main/java/milletyoke/http/Decoder.java
@@ -34,6 +34,7 @@
     private static final byte[] VERSION = "HTTP/1.1 ".getBytes(StandardCharsets.US_ASCII);
     private static final int LONGEST_METHOD = 16, MOST_INTERIM = 16, LONGEST_SIZE = 8;
     private static final byte[] EMPTY = {};
+    private static final int ALONE = 64 * 1024;
 
     private final Side side;
     private final Limits limits;
@@ -52,10 +53,29 @@
     /** Bytes still to come of the body, or of the chunk. */
     private int left;
     private boolean continueOwed;
+    /** What bodies over {@link #ALONE} take of together; null where they may be as long as the limits say. */
+    private final Allowance allowance;
+    private int taken;
 
     public Decoder(Side side, Limits limits) {
+        this(side, limits, null);
+    }
+
+    /** @param allowance for the room of bodies beyond the first 64 KiB; {@link #drop} gives it back */
+    public Decoder(Side side, Limits limits, Allowance allowance) {
         this.side = side;
         this.limits = limits;
+        this.allowance = allowance;
+    }
+
+    /** To be called when nothing more will be fed. */
+    public void drop() {
+        if (taken > 0) {
+            allowance.giveBack(taken);
+            taken = 0;
+        }
+        body = EMPTY;
+        bodyLength = 0;
     }
 
     /** Whether part of a message has come. */
@@ -309,7 +329,8 @@
             throw new Malformed(400, "a length that is no number");
         }
         if (text.length() > 9 || Integer.parseInt(text) > limits.body()) {
-            throw new Malformed(413, "a body of over " + limits.body() + " bytes");
+            String told = text.length() > 20 ? text.substring(0, 20) + "..." : text;
+            throw new Malformed(413, "a body of " + told + " bytes, " + limits.body() + " are the most");
         }
         return Integer.parseInt(text);
     }
@@ -343,11 +364,17 @@
     }
 
     /** Room grows with what came, not with what was announced. */
-    private void body(ByteBuffer in) {
+    private void body(ByteBuffer in) throws Malformed {
         int some = Math.min(left, in.remaining());
         if (bodyLength + some > body.length) {
             int whole = at == At.BODY ? bodyLength + left : bodyLength + some;
-            body = Arrays.copyOf(body, Math.min(whole, Math.max(bodyLength + some, 2 * body.length)));
+            int room = Math.min(whole, Math.max(bodyLength + some, 2 * body.length));
+            int beyond = allowance == null ? 0 : Math.max(0, room - ALONE) - taken;
+            if (beyond > 0 && !allowance.take(beyond)) {
+                throw new Malformed(413, "no room for a body of " + (bodyLength + left) + " bytes beside the others");
+            }
+            taken += Math.max(0, beyond);
+            body = Arrays.copyOf(body, room);
         }
         in.get(body, bodyLength, some);
         bodyLength += some;
@@ -365,8 +392,7 @@
         target = "";
         status = 0;
         fields = new ArrayList<>();
-        body = EMPTY;
-        bodyLength = 0;
+        drop();
         continueOwed = false;
         line = line.length > 1024 ? new byte[128] : line;
         return message;
--- a/http/src/main/java/milletyoke/http/Heads.java
+++ b/http/src/main/java/milletyoke/http/Heads.java
@@ -59,6 +59,12 @@
         return this;
     }
 
+    /** Ends the head of a message whose body is written behind it. */
+    public ByteBuffer end(int bodyLength) {
+        with("Content-Length", Integer.toString(bodyLength));
+        return ByteBuffer.wrap(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     /** Ends the message; the length of the body is told where there can be one. */
     public ByteBuffer body(byte[] body, boolean sayLength) {
         if (sayLength) {
--- a/http/src/main/java/milletyoke/http/HttpConn.java
+++ b/http/src/main/java/milletyoke/http/HttpConn.java
@@ -48,7 +48,17 @@
     }
 
     public void write(ByteBuffer bytes, Written then) {
-        connection.write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes),
+        write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes), then);
+    }
+
+    /** Both, one behind the other, without a copy of the second. */
+    public void write(ByteBuffer head, ByteBuffer body, Written then) {
+        MemoryManager<?> memory = MemoryManager.DEFAULT_MEMORY_MANAGER;
+        write(Buffers.appendBuffers(memory, Buffers.wrap(memory, head), Buffers.wrap(memory, body)), then);
+    }
+
+    private void write(Buffer bytes, Written then) {
+        connection.write(bytes,
                 new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
             @Override
             public void completed(WriteResult<Buffer, SocketAddress> result) {
