--- a/http/src/main/java/milletyoke/http/HttpConn.java
+++ b/http/src/main/java/milletyoke/http/HttpConn.java
@@ -88,11 +88,11 @@
         quietly(() -> connection.enableIOEvent(IOEvent.READ));
     }
 
-    private interface Step {
+    interface Step {
         void take() throws java.io.IOException;
     }
 
-    private static void quietly(Step step) {
+    static void quietly(Step step) {
         try {
             step.take();
         } catch (java.io.IOException | RuntimeException gone) {
--- a/http/src/main/java/milletyoke/http/HttpNet.java
+++ b/http/src/main/java/milletyoke/http/HttpNet.java
@@ -11,6 +11,7 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.GrizzlyFuture;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChain;
@@ -47,6 +48,11 @@
     public interface Listener {
         int port();
 
+        /** Lets further connections wait with the system until {@link #goOn}. */
+        void hold();
+
+        void goOn();
+
         /** Takes no further connections. */
         void stop();
     }
@@ -88,6 +94,16 @@
             return ((InetSocketAddress) server.getLocalAddress()).getPort();
         }
 
+        @Override
+        public void hold() {
+            HttpConn.quietly(() -> server.disableIOEvent(IOEvent.SERVER_ACCEPT));
+        }
+
+        @Override
+        public void goOn() {
+            HttpConn.quietly(() -> server.enableIOEvent(IOEvent.SERVER_ACCEPT));
+        }
+
         @Override
         public void stop() {
             transport.unbind(server);
