--- a/gateway/src/main/java/milletyoke/gateway/link/Links.java
+++ b/gateway/src/main/java/milletyoke/gateway/link/Links.java
@@ -30,6 +30,13 @@
  * <p>Owned by the loop; free of sockets and clocks, so the lab can run it.
  */
 public final class Links {
+    /**
+     * A connection that carries one relay at a time rests so long behind a reply (microseconds). Guards a relay against a second
+     * copy of the reply before its own, right behind it but in a packet of its own: nothing in it says whose it is. While the
+     * connection rests the copy comes when nothing is owed, and ends it. Could hold a relay back for that long.
+     */
+    static final long REST = 1_000;
+
     private final Outbox outbox;
     private final Transport transport;
     private final Dialler dialler;
@@ -143,7 +150,8 @@
             return;
         }
         if (!transmit(link, out)) {
-            if (link.conns.size() + link.dialling.size() < transport.connections()) {
+            if (resting(link) <= link.waiting.size()
+                    && link.conns.size() + link.dialling.size() < transport.connections()) {
                 dial(link);
             }
             if (link.dialling.isEmpty() && !(exclusive() && hasOpen(link))) {
@@ -170,7 +178,7 @@
     private boolean transmit(Link link, Out out) {
         Conn least = null;
         for (Conn c : link.conns) {
-            boolean room = c.outs.size() < transport.streams() && c.line.isOpen();
+            boolean room = c.outs.size() < transport.streams() && c.line.isOpen() && now >= rested(c);
             boolean better = least == null || c.outs.size() < least.outs.size()
                     || exclusive() && c.lastUse < least.lastUse;
             least = room && better ? c : least;
@@ -185,6 +193,31 @@
         return true;
     }
 
+    /** From when on a connection may be used; 0 where it need not rest. */
+    private long rested(Conn c) {
+        return exclusive() && c.heard ? c.lastUse + REST : 0;
+    }
+
+    /** Connections that only rest: what waits for them needs no new ones. */
+    private int resting(Link link) {
+        int resting = 0;
+        for (Conn c : link.conns) {
+            resting += exclusive() && c.outs.isEmpty() && c.line.isOpen() && now < rested(c) ? 1 : 0;
+        }
+        return resting;
+    }
+
+    /** When the first connection that something waits for has rested; Long.MAX_VALUE for never. */
+    private long nextRested() {
+        long next = Long.MAX_VALUE;
+        for (Link link : links.values()) {
+            for (Conn c : link.waiting.isEmpty() ? List.<Conn>of() : link.conns) {
+                next = exclusive() && c.outs.isEmpty() && c.line.isOpen() ? Math.min(next, rested(c)) : next;
+            }
+        }
+        return next;
+    }
+
     private static boolean hasOpen(Link link) {
         return link.conns.stream().anyMatch(c -> c.line.isOpen());
     }
@@ -320,13 +353,16 @@
         while (!byDue.isEmpty() && byDue.peek().over) {
             byDue.poll();
         }
-        return Math.min(byDue.isEmpty() ? Long.MAX_VALUE : byDue.peek().due(),
+        return Math.min(Math.min(nextRested(), byDue.isEmpty() ? Long.MAX_VALUE : byDue.peek().due()),
                 links.isEmpty() ? Long.MAX_VALUE : sweepAt);
     }
 
     /** Ends what is past its time, gives up dials, closes idle connections. */
     public void look(long time) {
         now = time;
+        if (exclusive() && nextRested() <= now) {
+            links.values().stream().filter(l -> !l.waiting.isEmpty()).forEach(this::serveWaiting);
+        }
         while (nextOver() != null) {
             Out out = byDue.poll();
             // Not sent by its time to give up: moot. Not sent by the time to connect: no connection.
@@ -391,15 +427,11 @@
         }
     }
 
-    /** A given-up relay's connection is ended, for its reply may yet come; any other takes what waits. */
+    /** A given-up relay's connection is ended, for its reply may yet come; any other is for what waits, once it has rested. */
     private void freed(Out out, Outcome outcome) {
         if (outcome == Outcome.CANCELLED || outcome == Outcome.TIMED_OUT) {
             out.conn.line.close("what was sent there was given up");
         }
-        Link link = links.get(out.target);
-        if (link != null && !link.waiting.isEmpty()) {
-            serveWaiting(link);
-        }
     }
 
     private static String key(String id, int attempt) {
--- /dev/null
+++ b/http/src/test/java/milletyoke/http/HttpNetTest.java
@@ -0,0 +1,138 @@
+package milletyoke.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What the bytes' transport promises the codec's users: how far a write got, and that what is given up is released. */
+@Timeout(60)
+class HttpNetTest {
+    private static final class Ear implements HttpNet.Handler {
+        final CompletableFuture<HttpConn> opened = new CompletableFuture<>();
+        final CompletableFuture<String> closed = new CompletableFuture<>();
+
+        @Override
+        public void opened(HttpConn conn) {
+            opened.complete(conn);
+        }
+
+        @Override
+        public void read(HttpConn conn, ByteBuffer in) {
+        }
+
+        @Override
+        public void closed(HttpConn conn, String why) {
+            closed.complete(why);
+        }
+    }
+
+    private static final class Fate implements HttpConn.Written {
+        final CompletableFuture<Boolean> whole = new CompletableFuture<>();
+
+        @Override
+        public void written() {
+            whole.complete(true);
+        }
+
+        @Override
+        public void failed(String why) {
+            whole.complete(false);
+        }
+    }
+
+    private static long sockets() throws IOException {
+        try (Stream<Path> all = Files.list(Path.of("/proc/self/fd"))) {
+            return all.filter(f -> {
+                try {
+                    return Files.readSymbolicLink(f).toString().startsWith("socket");
+                } catch (IOException gone) {
+                    return false;
+                }
+            }).count();
+        }
+    }
+
+    /** A machine that is cut off takes no connection and refuses none; a full accept queue is as silent. */
+    @Test
+    void whatIsGivenUpWhileItConnectsIsReleased() throws Exception {
+        assumeTrue(Files.isDirectory(Path.of("/proc/self/fd")));
+        List<Socket> filling = new ArrayList<>();
+        try (HttpNet net = new HttpNet("test"); ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            try {
+                for (int i = 0; i < 20; i++) {
+                    Socket one = new Socket();
+                    filling.add(one);
+                    one.connect(full.getLocalSocketAddress(), 200);
+                }
+            } catch (SocketTimeoutException silent) {
+                // its queue is full now
+            }
+            long before = sockets();
+            List<HttpNet.Attempt> attempts = new ArrayList<>();
+            CompletableFuture<String> failed = new CompletableFuture<>();
+            for (int i = 0; i < 10; i++) {
+                attempts.add(net.connect("127.0.0.1", full.getLocalPort(), new Ear(), failed::complete));
+            }
+            assertEquals(before + 10, sockets());
+            attempts.forEach(HttpNet.Attempt::giveUp);
+            failed.get();
+            while (sockets() > before) {
+                TimeUnit.MILLISECONDS.sleep(5);
+            }
+        } finally {
+            for (Socket s : filling) {
+                s.close();
+            }
+        }
+    }
+
+    @Test
+    void aWriteThatCannotLeaveWholeIsToldSo() throws Exception {
+        try (HttpNet net = new HttpNet("test"); ServerSocket server = new ServerSocket(0)) {
+            Ear ear = new Ear();
+            net.connect("127.0.0.1", server.getLocalPort(), ear, why -> { });
+            Socket peer = server.accept();
+            HttpConn conn = ear.opened.get();
+            Fate small = new Fate();
+            conn.write(ByteBuffer.allocate(100), small);
+            assertTrue(small.whole.get(), "the system took it");
+            Fate large = new Fate();
+            conn.write(ByteBuffer.allocate(64 << 20), large); // more than any buffers between the two hold
+            TimeUnit.MILLISECONDS.sleep(50);
+            assertEquals(false, large.whole.isDone(), "nobody reads");
+            peer.setSoLinger(true, 0);
+            peer.close();
+            assertEquals(false, large.whole.get());
+            ear.closed.get();
+        }
+    }
+
+    @Test
+    void aConnectionThatIsRefusedIsToldSo() throws Exception {
+        int port;
+        try (ServerSocket gone = new ServerSocket(0)) {
+            port = gone.getLocalPort();
+        }
+        try (HttpNet net = new HttpNet("test")) {
+            CompletableFuture<String> failed = new CompletableFuture<>();
+            net.connect("127.0.0.1", port, new Ear(), failed::complete);
+            failed.get();
+        }
+    }
+}
