--- a/gateway/src/main/java/milletyoke/gateway/link/Links.java
+++ b/gateway/src/main/java/milletyoke/gateway/link/Links.java
@@ -210,9 +210,12 @@
     /** When the first connection that something waits for has rested; Long.MAX_VALUE for never. */
     private long nextRested() {
         long next = Long.MAX_VALUE;
+        if (!exclusive()) {
+            return next; // asked each turn: not to cost what the targets are many where nothing rests
+        }
         for (Link link : links.values()) {
             for (Conn c : link.waiting.isEmpty() ? List.<Conn>of() : link.conns) {
-                next = exclusive() && c.outs.isEmpty() && c.line.isOpen() ? Math.min(next, rested(c)) : next;
+                next = c.outs.isEmpty() && c.line.isOpen() ? Math.min(next, rested(c)) : next;
             }
         }
         return next;
