What waits for a connection to a target that drains never starts there

Seen: reading. Links kept a relay waiting for a connection though its target had been told to drain or be gone meanwhile; only the connect time (250 ms here) kept it within the grace (500 ms here), and neither is fixed: another customer's grace may be shorter. A connection that came up in the turn in which its relay's time ended carried it all the same, with a millisecond told as left, for dialled() is told before look(). At fault: Links.unlisted (marked the target, left its queue), Links.serveWaiting (no look at the time), Roster.listed (told of no drain, and took every target out and in again for a whole list). Change: Roster tells who drains, and for a whole list only who is left out; Links ends what waits there as never having run. Decisions untouched.

--- a/gateway/src/main/java/milletyoke/gateway/link/Links.java
+++ b/gateway/src/main/java/milletyoke/gateway/link/Links.java
@@ -100,10 +100,25 @@
     }
 
     /** A target that is no longer listed keeps what is out there, and is forgotten once nothing is. */
-    public void unlisted(String target) {
+    public void unlisted(long time, String target) {
         Link link = links.get(target);
         if (link != null) {
             link.listed = false;
+            takesNothingNew(time, target);
+        }
+    }
+
+    /**
+     * A target that drains or is gone: what still waits for a connection to it never runs there. Guards rule 3 where a connection
+     * may take longer to come up than the grace lasts. Could do no harm: nothing of it has been sent.
+     */
+    public void takesNothingNew(long time, String target) {
+        now = time;
+        Link link = links.get(target);
+        if (link != null) {
+            List<Out> stranded = new ArrayList<>(link.waiting);
+            link.waiting.clear();
+            stranded.forEach(out -> end(out, Outcome.NO_CONNECTION, null, null));
         }
     }
 
@@ -263,6 +278,9 @@
     private void serveWaiting(Link link) {
         while (!link.waiting.isEmpty()) {
             Out out = link.waiting.peekFirst();
+            if (!out.over && now >= out.due()) {
+                return; // its time is over, though the look at the clock that ends it comes later in this turn
+            }
             if (!out.over && !transmit(link, out)) {
                 return;
             }
--- a/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Loop.java
@@ -148,9 +148,14 @@
                 links.listed(target, address);
             }
 
+            @Override
+            public void draining(String target) {
+                links.takesNothingNew(clock.getAsLong(), target);
+            }
+
             @Override
             public void unlisted(String target) {
-                links.unlisted(target);
+                links.unlisted(clock.getAsLong(), target);
             }
         });
         ledger.connect(new Outlets());
--- a/gateway/src/main/java/milletyoke/gateway/loop/Roster.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Roster.java
@@ -25,6 +25,9 @@
     interface Addresses {
         void listed(String target, Address address);
 
+        /** It finishes what it has. */
+        void draining(String target);
+
         void unlisted(String target);
     }
 
@@ -49,24 +52,17 @@
 
     /** @param now when the list came, on this initiator's clock */
     Event.TargetList listed(long now, TargetList list, boolean restored) {
-        if (list.getScope() != Scope.UPDATE) {
-            held.keySet().forEach(addresses::unlisted);
-            held.clear();
-        }
+        Set<String> leftOut = new TreeSet<>(list.getScope() == Scope.UPDATE ? Set.of() : held.keySet());
         List<Event.Target> targets = new ArrayList<>();
         for (Target t : list.getTargetList()) {
-            if (t.getHealth() == Health.GONE) {
-                held.remove(t.getId());
-                addresses.unlisted(t.getId());
-            } else {
-                held.put(t.getId(), t);
-                addresses.listed(t.getId(), new Address(t.getHost(), t.getPort()));
-            }
+            leftOut.remove(t.getId());
+            take(t);
             boolean here = drainedHere.contains(t.getId()) && t.getHealth() == Health.ON;
             targets.add(new Event.Target(t.getShard(), t.getId(), t.getZone(), here ? Event.Health.DRAINING : health(t),
                     start(now, t, list)));
         }
         if (list.getScope() != Scope.UPDATE) {
+            leftOut.forEach(this::leave);
             starts.keySet().retainAll(held.keySet());
         }
         version = list.getVersion();
@@ -76,6 +72,23 @@
         return new Event.TargetList(scope, List.copyOf(targets));
     }
 
+    private void take(Target t) {
+        if (t.getHealth() == Health.GONE) {
+            leave(t.getId());
+            return;
+        }
+        held.put(t.getId(), t);
+        addresses.listed(t.getId(), new Address(t.getHost(), t.getPort()));
+        if (t.getHealth() != Health.ON) {
+            addresses.draining(t.getId());
+        }
+    }
+
+    private void leave(String target) {
+        held.remove(target);
+        addresses.unlisted(target);
+    }
+
     /** Null where the target is not listed; else a change as if discovery had told it. */
     Event.TargetList drain(long now, String target, boolean on) {
         if (on ? drainedHere.size() >= MOST_STARTS || !drainedHere.add(target) : !drainedHere.remove(target)) {
--- a/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
@@ -445,4 +445,35 @@
                 .setOutcome(milletyoke.wire.proto.Outcome.SUCCEEDED).build());
         assertEquals(List.of(700L), lags);
     }
+
+    // ---- What ends while a relay waits for its connection ----
+
+    /** The connection comes up after its target was told to drain, or gone: nothing is sent, and nothing ran. */
+    @Test
+    void whatWaitsForATargetThatDrainsOrGoesNeverRuns() {
+        for (boolean gone : new boolean[] {false, true}) {
+            ended.clear();
+            links.listed("a", new Address("127.0.0.1", 1));
+            relay(0, "x");
+            if (gone) {
+                links.unlisted(1, "a");
+            } else {
+                links.takesNothingNew(1, "a");
+            }
+            assertEquals(Map.of("x", Outcome.NO_CONNECTION), ended);
+            Fake late = up(2, lastDial());
+            assertEquals(List.of(), late.sent);
+        }
+    }
+
+    /** The connection comes up in the very turn in which its relay's time is over, before the clock was looked at. */
+    @Test
+    void aConnectionThatComesWithTheEndOfItsRelayCarriesNothing() {
+        links.listed("a", new Address("127.0.0.1", 1));
+        relay(0, "x");
+        Fake late = up(CONNECT, lastDial());
+        links.look(CONNECT);
+        assertEquals(List.of(), late.sent);
+        assertEquals(Map.of("x", Outcome.NO_CONNECTION), ended);
+    }
 }
