--- a/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
@@ -463,6 +463,7 @@
             assertEquals(Map.of("x", Outcome.NO_CONNECTION), ended);
             Fake late = up(2, lastDial());
             assertEquals(List.of(), late.sent);
+            links.lost(3, "a", late, false, 0);
         }
     }
 
