--- a/http/src/main/java/milletyoke/http/Decoder.java
+++ b/http/src/main/java/milletyoke/http/Decoder.java
@@ -29,7 +29,7 @@
         public static final Limits USUAL = new Limits(8 * 1024, 64, 64 * 1024);
     }
 
-    private enum At { START, FIELDS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER }
+    private enum At { START, FIELDS, BODY, UNTIL_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER }
 
     private static final byte[] VERSION = "HTTP/1.1 ".getBytes(StandardCharsets.US_ASCII);
     private static final int LONGEST_METHOD = 16, MOST_INTERIM = 16, LONGEST_SIZE = 8;
@@ -54,6 +54,7 @@
     /** Bytes still to come of the body, or of the chunk. */
     private int left;
     private boolean continueOwed;
+    private boolean malformed;
     /** What bodies take of together beyond {@link #ALONE} each; null where they may be as long as the limits say. */
     private final Allowance allowance;
     private int taken;
@@ -98,8 +99,19 @@
      * @throws Malformed where the connection is of no further use; nothing more may be fed
      */
     public Message take(ByteBuffer in) throws Malformed {
+        try {
+            return next(in);
+        } catch (Malformed bad) {
+            malformed = true;
+            throw bad;
+        }
+    }
+
+    private Message next(ByteBuffer in) throws Malformed {
         while (in.hasRemaining()) {
-            if (at == At.BODY || at == At.CHUNK) {
+            if (at == At.UNTIL_END) {
+                untilEnd(in);
+            } else if (at == At.BODY || at == At.CHUNK) {
                 body(in);
                 if (left > 0) {
                     return null;
@@ -115,6 +127,16 @@
         return null;
     }
 
+    /**
+     * To be called once the peer has ended its sending, and not where the connection was reset: that is no end (RFC 9112 section
+     * 8).
+     *
+     * @return the answer that was to last until then; null where there is none, or it is not whole
+     */
+    public Message ended() {
+        return at == At.UNTIL_END && !malformed ? finished() : null;
+    }
+
     /** Adds one byte to the line; true where it ended the line. */
     private boolean byteOfLine(byte b) throws Malformed {
         if (++headBytes > limits.head()) {
@@ -294,7 +316,8 @@
             left = length(head.only("content-length"));
             at = At.BODY;
         } else if (side == Side.ANSWERS && status != 204 && status != 304) {
-            throw new Malformed(400, "an answer that does not say how long it is");
+            at = At.UNTIL_END; // it lasts until its connection ends (RFC 9112 section 6.3, case 8)
+            return false;
         }
         boolean bare = side == Side.ANSWERS && (status == 204 || status == 304);
         if (bare && (codings > 0 || left > 0)) {
@@ -359,11 +382,19 @@
         return false;
     }
 
+    private void untilEnd(ByteBuffer in) throws Malformed {
+        if (bodyLength + in.remaining() > limits.body()) {
+            throw new Malformed(413, "a body of over " + limits.body() + " bytes");
+        }
+        left = in.remaining();
+        body(in);
+    }
+
     /** Room grows with what came, not with what was announced. */
     private void body(ByteBuffer in) throws Malformed {
         int some = Math.min(left, in.remaining());
         if (bodyLength + some > body.length) {
-            int whole = at == At.BODY ? bodyLength + left : bodyLength + some;
+            int whole = at == At.BODY ? bodyLength + left : at == At.UNTIL_END ? limits.body() : bodyLength + some;
             int room = Math.min(whole, Math.max(bodyLength + some, 2 * body.length));
             int beyond = allowance == null ? 0 : Math.max(0, room - ALONE) - taken;
             if (beyond > 0 && !allowance.take(beyond)) {
--- a/http/src/main/java/milletyoke/http/HttpConn.java
+++ b/http/src/main/java/milletyoke/http/HttpConn.java
@@ -1,17 +1,24 @@
 package milletyoke.http;
 
+import java.io.IOException;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.nio.NIOConnection;
 
-/** One connection that carries bytes; any thread may write, pause and close. */
+/**
+ * One connection that carries bytes; any thread may write and close. It is open, then perhaps closing gracefully (its output is
+ * shut behind the last write, what still comes in is dropped), then closed. Each step is taken once and never back.
+ */
 public final class HttpConn {
     /** How a write ended. */
     public interface Written {
@@ -23,10 +30,20 @@
         }
     }
 
+    /** What a peer may still send to a connection that closes gracefully; beyond it, it is reset (bytes). */
+    private static final int MOST_DRAINED = 1 << 20;
+
     private final int id;
     private final Connection<SocketAddress> connection;
     private final HttpNet.Handler handler;
-    private final AtomicBoolean closed = new AtomicBoolean();
+    private final AtomicBoolean closed = new AtomicBoolean(), outputShut = new AtomicBoolean();
+    /** Writes that the system has not taken whole. */
+    private final AtomicInteger writing = new AtomicInteger();
+    /** Nothing that comes in counts any more. */
+    private volatile boolean closing;
+    private volatile boolean endedByPeer;
+    /** Of the sockets' thread. */
+    private int drained;
 
     @SuppressWarnings("unchecked") // a TCP connection's addresses are socket addresses
     HttpConn(int id, Connection<?> connection, HttpNet.Handler handler) {
@@ -47,6 +64,16 @@
         return !closed.get() && connection.isOpen();
     }
 
+    /** Whether the system has not yet taken all that was written. */
+    public boolean isWriting() {
+        return writing.get() > 0;
+    }
+
+    /** Whether the peer ended its sending, and did not reset the connection; known once it is closed. */
+    public boolean isEndedByPeer() {
+        return endedByPeer;
+    }
+
     public void write(ByteBuffer bytes, Written then) {
         write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes), then);
     }
@@ -62,10 +89,14 @@
     }
 
     private void write(Buffer bytes, Written then) {
+        writing.incrementAndGet();
         connection.write(bytes,
                 new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
             @Override
             public void completed(WriteResult<Buffer, SocketAddress> result) {
+                if (writing.decrementAndGet() == 0 && closing) {
+                    shutOutput();
+                }
                 then.written();
             }
 
@@ -83,28 +114,53 @@
         });
     }
 
-    /** Reads nothing more until {@link #resume}, so that the peer is held back by TCP; its leaving is not noticed meanwhile. */
-    public void pause() {
-        quietly(() -> connection.disableIOEvent(IOEvent.READ));
+    static void quietly(Step step) {
+        try {
+            step.take();
+        } catch (IOException | RuntimeException gone) {
+            // the connection is gone, which its handler is told by another way
+        }
     }
 
-    public void resume() {
-        quietly(() -> connection.enableIOEvent(IOEvent.READ));
+    interface Step {
+        void take() throws IOException;
+    }
+
+    /**
+     * Closes gracefully (RFC 9112 section 9.6): output is shut once all that was written is with the system, what comes in from
+     * now on is dropped, and the peer's own end closes it; whoever calls this bounds how long that may take by {@link #close}.
+     * Guards a last answer: a close over unread bytes resets the connection, and the answer may go with it.
+     */
+    public void closeGracefully() {
+        closing = true;
+        if (writing.get() == 0) {
+            shutOutput();
+        }
     }
 
-    interface Step {
-        void take() throws java.io.IOException;
+    public boolean isClosing() {
+        return closing;
     }
 
-    static void quietly(Step step) {
-        try {
-            step.take();
-        } catch (java.io.IOException | RuntimeException gone) {
-            // the connection is gone, which its handler is told by another way
+    private void shutOutput() {
+        if (outputShut.compareAndSet(false, true) && ((NIOConnection) connection).getChannel() instanceof SocketChannel channel) {
+            quietly(channel::shutdownOutput);
         }
     }
 
-    /** Closes at once; what waits to be written is lost. */
+    /** Takes what came; false where it is to be dropped. Called on the sockets' thread. */
+    boolean takes(int bytes) {
+        if (!closing) {
+            return isOpen();
+        }
+        drained += bytes;
+        if (drained > MOST_DRAINED) {
+            close("sends on though it is closed");
+        }
+        return false;
+    }
+
+    /** Closes at once; what waits to be written is lost, and what was not read resets the connection. */
     public void close(String why) {
         if (closed.compareAndSet(false, true)) {
             connection.terminateSilently();
@@ -112,8 +168,23 @@
         }
     }
 
-    void ended(String why) {
+    /** Closes at once and resets it, whatever was read. */
+    public void reset(String why) {
+        if (((NIOConnection) connection).getChannel() instanceof SocketChannel channel) {
+            quietly(() -> channel.setOption(StandardSocketOptions.SO_LINGER, 0));
+        }
+        close(why);
+    }
+
+    /** The peer ended or reset it. */
+    void lost(String why, boolean endedByPeer) {
+        ended(why, endedByPeer);
+        connection.terminateSilently();
+    }
+
+    void ended(String why, boolean byPeer) {
         if (closed.compareAndSet(false, true)) {
+            endedByPeer = byPeer;
             handler.closed(this, why);
         }
     }
--- a/http/src/main/java/milletyoke/http/HttpNet.java
+++ b/http/src/main/java/milletyoke/http/HttpNet.java
@@ -3,10 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
@@ -19,6 +19,7 @@
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -37,7 +38,7 @@
     public interface Handler {
         void opened(HttpConn conn);
 
-        /** Bytes came; what is not taken is lost. */
+        /** Bytes came; what is not taken is lost, and the buffer is another's afterwards. */
         void read(HttpConn conn, ByteBuffer in);
 
         /** Called once, on any thread; nothing comes after it. */
@@ -64,6 +65,7 @@
 
     private final AtomicInteger ids = new AtomicInteger();
     private final TCPNIOTransport transport;
+    private final ByteBuffer in = ByteBuffer.allocateDirect(READ_AT_ONCE);
 
     public HttpNet(String name) throws IOException {
         TCPNIOTransportBuilder builder = TCPNIOTransportBuilder.newInstance()
@@ -130,7 +132,35 @@
     }
 
     private FilterChain chain(Supplier<Handler> handlers) {
-        return FilterChainBuilder.stateless().add(new TransportFilter()).add(new Bytes(handlers)).build();
+        return FilterChainBuilder.stateless().add(new Reading()).add(new Bytes(handlers)).build();
+    }
+
+    /**
+     * Reads by itself, for the transport's own way tells an end and a reset alike. Guards an answer that ends with its
+     * connection: after a reset it is not whole. All connections share one buffer, for one thread reads.
+     */
+    private final class Reading extends TransportFilter {
+        @Override
+        public NextAction handleRead(FilterChainContext ctx) {
+            HttpConn conn = CONN.get(ctx.getConnection());
+            if (conn == null || !(((NIOConnection) ctx.getConnection()).getChannel() instanceof SocketChannel channel)) {
+                return ctx.getStopAction();
+            }
+            in.clear();
+            int came;
+            try {
+                came = channel.read(in);
+            } catch (IOException reset) {
+                conn.lost("reset: " + reset.getMessage(), false);
+                return ctx.getStopAction();
+            }
+            if (came < 0) {
+                conn.lost("its peer ended it", true);
+            } else if (came > 0 && conn.takes(came)) {
+                conn.handler().read(conn, in.flip());
+            }
+            return ctx.getStopAction();
+        }
     }
 
     /** The last filter: gives each connection its handler. */
@@ -156,21 +186,10 @@
         private void opened(Connection<?> connection) {
             HttpConn conn = new HttpConn(ids.incrementAndGet(), connection, handlers.get());
             CONN.set(connection, conn);
-            connection.addCloseListener((closeable, type) -> conn.ended("closed (" + type + ")"));
+            connection.addCloseListener((closeable, type) -> conn.ended("closed (" + type + ")", false));
             conn.handler().opened(conn);
         }
 
-        @Override
-        public NextAction handleRead(FilterChainContext ctx) {
-            Buffer bytes = ctx.getMessage();
-            HttpConn conn = CONN.get(ctx.getConnection());
-            if (conn != null && conn.isOpen()) {
-                conn.handler().read(conn, bytes.toByteBuffer());
-            }
-            bytes.tryDispose();
-            return ctx.getStopAction();
-        }
-
         @Override
         public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
             HttpConn conn = CONN.get(ctx.getConnection());
--- a/http/src/test/java/milletyoke/http/DecoderTest.java
+++ b/http/src/test/java/milletyoke/http/DecoderTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
@@ -52,7 +53,10 @@
         } catch (Malformed bad) {
             all.append(bad.status()).append(bad.getMessage());
         }
-        return all.append(decoder.isPartial() ? " partial" : "").toString();
+        boolean partial = decoder.isPartial();
+        Message last = partial ? decoder.ended() : null;
+        return all.append(partial ? " partial" : "").append(last == null ? "" : " ended " + last.status()
+                + new String(last.body(), StandardCharsets.ISO_8859_1)).toString();
     }
 
     private static byte[] bytes(String text) {
@@ -94,6 +98,25 @@
         assertEquals(fed(new Decoder(side, SMALL), input), fed(new Decoder(side, SMALL), input, a, b));
     }
 
+    /** RFC 9112 section 6.3, case 8: told by the end of the connection alone, and bounded as any other body. */
+    @Test
+    void anAnswerWithoutALengthLastsUntilItsConnectionEnds() throws Exception {
+        Decoder decoder = new Decoder(Decoder.Side.ANSWERS, SMALL);
+        assertNull(decoder.take(ByteBuffer.wrap(bytes("HTTP/1.1 200 OK\r\n\r\nhalf"))));
+        assertTrue(decoder.isPartial());
+        assertNull(decoder.take(ByteBuffer.wrap(bytes(" and whole"))));
+        assertEquals("half and whole", new String(decoder.ended().body(), StandardCharsets.ISO_8859_1));
+        for (String unfinished : List.of("", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhalf",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "HTTP/1.1 103 Early\r\n\r\n")) {
+            Decoder other = new Decoder(Decoder.Side.ANSWERS, SMALL);
+            assertNull(other.take(ByteBuffer.wrap(bytes(unfinished))));
+            assertNull(other.ended(), "not whole: " + unfinished);
+        }
+        Decoder endless = new Decoder(Decoder.Side.ANSWERS, SMALL);
+        assertNull(endless.take(ByteBuffer.wrap(bytes("HTTP/1.1 200 OK\r\n\r\n" + "x".repeat(64)))));
+        assertThrows(Malformed.class, () -> endless.take(ByteBuffer.wrap(bytes("x"))));
+    }
+
     static Stream<String> ambiguous() {
         return Stream.of("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                 "Content-Length: 5\r\nContent-Length: 6\r\n\r\n", "Content-Length: 5, 5\r\n\r\n", "Content-Length: +5\r\n\r\n",
--- a/http/src/test/java/milletyoke/http/HttpNetTest.java
+++ b/http/src/test/java/milletyoke/http/HttpNetTest.java
@@ -1,6 +1,7 @@
 package milletyoke.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -135,4 +137,95 @@
             failed.get();
         }
     }
+
+    /** Accepts one connection, and does with it on its first bytes what is asked for. */
+    private static Socket accepted(HttpNet net, java.util.function.Consumer<HttpConn> first) throws IOException {
+        AtomicBoolean done = new AtomicBoolean();
+        HttpNet.Listener listener = net.listen("127.0.0.1", 0, () -> new HttpNet.Handler() {
+            @Override
+            public void opened(HttpConn conn) {
+            }
+
+            @Override
+            public void read(HttpConn conn, ByteBuffer in) {
+                if (done.compareAndSet(false, true)) {
+                    first.accept(conn);
+                } else {
+                    throw new AssertionError("what comes after the shutdown is not read");
+                }
+            }
+
+            @Override
+            public void closed(HttpConn conn, String why) {
+            }
+        });
+        Socket socket = new Socket("127.0.0.1", listener.port());
+        socket.setSoTimeout(30_000);
+        return socket;
+    }
+
+    /** The peer sends on, half a megabyte that is never read; a close over that would reset the connection. */
+    @Test
+    void aGracefulCloseOverUnreadBytesResetsNothing() throws Exception {
+        try (HttpNet net = new HttpNet("test"); Socket peer = accepted(net, conn -> {
+            conn.write(ByteBuffer.wrap("the last answer".getBytes()), () -> { });
+            conn.closeGracefully();
+        })) {
+            peer.getOutputStream().write(new byte[512 * 1024]);
+            assertEquals("the last answer", new String(peer.getInputStream().readAllBytes()), "and then an end, no reset");
+        }
+    }
+
+    /** Far more than the system takes at once is on its way when it is closed. */
+    @Test
+    void aGracefulCloseWaitsForWhatWasWritten() throws Exception {
+        int size = 32 << 20;
+        try (HttpNet net = new HttpNet("test"); Socket peer = accepted(net, conn -> {
+            conn.write(ByteBuffer.allocate(size), () -> { });
+            conn.closeGracefully();
+            assertTrue(conn.isWriting());
+        })) {
+            peer.getOutputStream().write(1);
+            long read = 0;
+            for (byte[] some = new byte[1 << 16]; ; ) {
+                int n = peer.getInputStream().read(some);
+                if (n < 0) {
+                    break;
+                }
+                read += n;
+            }
+            assertEquals(size, read);
+        }
+    }
+
+    @Test
+    void whoNeverStopsSendingIsResetInTheEnd() throws Exception {
+        try (HttpNet net = new HttpNet("test"); Socket peer = accepted(net, HttpConn::closeGracefully)) {
+            assertThrows(IOException.class, () -> {
+                for (int i = 0; i < 1_000; i++) {
+                    peer.getOutputStream().write(new byte[64 * 1024]);
+                }
+            });
+        }
+    }
+
+    /** An answer without a length rests on this. */
+    @Test
+    void anEndIsToldFromAReset() throws Exception {
+        try (HttpNet net = new HttpNet("test"); ServerSocket server = new ServerSocket(0)) {
+            for (boolean reset : new boolean[] {false, true}) {
+                Ear ear = new Ear();
+                net.connect("127.0.0.1", server.getLocalPort(), ear, why -> { });
+                Socket peer = server.accept();
+                HttpConn conn = ear.opened.get();
+                peer.getOutputStream().write(1);
+                if (reset) {
+                    peer.setSoLinger(true, 0);
+                }
+                peer.close();
+                ear.closed.get();
+                assertEquals(!reset, conn.isEndedByPeer());
+            }
+        }
+    }
 }
