--- a/http/src/test/java/milletyoke/http/HttpNetTest.java
+++ b/http/src/test/java/milletyoke/http/HttpNetTest.java
@@ -151,7 +151,7 @@
                 if (done.compareAndSet(false, true)) {
                     first.accept(conn);
                 } else {
-                    throw new AssertionError("what comes after the shutdown is not read");
+                    conn.reset("what comes behind the shutdown is not to be read"); // which the peer would see
                 }
             }
 
