--- a/http/src/main/java/milletyoke/http/HttpConn.java
+++ b/http/src/main/java/milletyoke/http/HttpConn.java
@@ -41,7 +41,7 @@
     private final AtomicInteger writing = new AtomicInteger();
     /** Nothing that comes in counts any more. */
     private volatile boolean closing;
-    private volatile boolean endedByPeer;
+    private volatile boolean endedByPeer, peerGone;
     /** Of the sockets' thread. */
     private int drained;
 
@@ -74,6 +74,15 @@
         return endedByPeer;
     }
 
+    /** Whether the peer has ended its sending or reset the connection; known before its last bytes are passed on. */
+    public boolean isPeerGone() {
+        return peerGone;
+    }
+
+    void peerGone() {
+        peerGone = true;
+    }
+
     public void write(ByteBuffer bytes, Written then) {
         write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes), then);
     }
--- a/http/src/main/java/milletyoke/http/HttpNet.java
+++ b/http/src/main/java/milletyoke/http/HttpNet.java
@@ -137,7 +137,9 @@
 
     /**
      * Reads by itself, for the transport's own way tells an end and a reset alike. Guards an answer that ends with its
-     * connection: after a reset it is not whole. All connections share one buffer, for one thread reads.
+     * connection: after a reset it is not whole. Reads until nothing is left, so that an end that waits behind a request is
+     * known before the request is acted upon: its client left while it waited here, or with the system. All connections share
+     * one buffer, for one thread reads.
      */
     private final class Reading extends TransportFilter {
         @Override
@@ -147,17 +149,26 @@
                 return ctx.getStopAction();
             }
             in.clear();
-            int came;
+            String end = null;
+            boolean byPeer = false;
             try {
-                came = channel.read(in);
+                int came = 1;
+                while (came > 0 && in.hasRemaining()) {
+                    came = channel.read(in);
+                }
+                byPeer = came < 0;
+                end = byPeer ? "its peer ended it" : null;
             } catch (IOException reset) {
-                conn.lost("reset: " + reset.getMessage(), false);
-                return ctx.getStopAction();
+                end = "reset: " + reset.getMessage();
+            }
+            if (end != null) {
+                conn.peerGone();
+            }
+            if (in.flip().hasRemaining() && conn.takes(in.remaining())) {
+                conn.handler().read(conn, in);
             }
-            if (came < 0) {
-                conn.lost("its peer ended it", true);
-            } else if (came > 0 && conn.takes(came)) {
-                conn.handler().read(conn, in.flip());
+            if (end != null) {
+                conn.lost(end, byPeer);
             }
             return ctx.getStopAction();
         }
