--- a/cli/src/main/java/milletyoke/cli/Serve.java
+++ b/cli/src/main/java/milletyoke/cli/Serve.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import milletyoke.gateway.setup.SetupError;
 import milletyoke.platform.service.Service;
@@ -34,20 +35,28 @@
         return call();
     }
 
+    /** One that came while it started is not lost. */
+    private static void reload(Service service, AtomicBoolean asked) {
+        if (service != null && asked.getAndSet(false)) {
+            service.reload();
+        }
+    }
+
     /** @return 0 where all that was held was answered, 1 where not */
     static int run(Path config) throws IOException, SetupError, InterruptedException {
         CountDownLatch asked = new CountDownLatch(1);
         AtomicReference<Service> started = new AtomicReference<>();
+        AtomicBoolean reload = new AtomicBoolean();
         // Before it listens, so before anybody is told that it is ready: SIGHUP would end the process, SIGTERM lose what is held.
         Signal.handle(new Signal("HUP"), s -> {
-            if (started.get() != null) {
-                started.get().reload();
-            }
+            reload.set(true);
+            reload(started.get(), reload);
         });
         Signal.handle(new Signal("TERM"), s -> asked.countDown());
         Signal.handle(new Signal("INT"), s -> asked.countDown());
         Service service = Service.start(config);
         started.set(service);
+        reload(service, reload);
         while (!asked.await(500, TimeUnit.MILLISECONDS)) {
             if (service.loop().fault() != null) {
                 System.err.println("milletyoke: the loop failed; all that was held has been broken off");
