--- a/cli/src/test/java/milletyoke/cli/ServeProcessTest.java
+++ b/cli/src/test/java/milletyoke/cli/ServeProcessTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import milletyoke.standins.http.HttpStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -98,4 +99,53 @@
         assertTrue(process.waitFor(60, TimeUnit.SECONDS));
         assertEquals(0, process.exitValue(), log());
     }
+
+    /**
+     * The system itself allows no more descriptors than the file says, and idle clients take all that they are given: discovery
+     * is reached again, a target is dialled, and an access is served.
+     */
+    @Test
+    void idleClientsKeepNobodyFromDiscoveryOrTargets() throws Exception {
+        List<Socket> idle = new ArrayList<>();
+        try (HttpStandIn target = new HttpStandIn("target", (c, m) -> HttpStandIn.answer(c, 200, "served".getBytes()));
+                HttpStandIn discovery = new HttpStandIn("discovery", (c, m) -> {
+                    if (!m.target().contains("from")) {
+                        HttpStandIn.answer(c, 200, ("{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"t\",\"endpoint\":\"127.0.0.1:"
+                                + target.port() + "\",\"pod_group\":0,\"state\":\"up\"}]}").getBytes());
+                    }
+                })) {
+            Path file = Files.writeString(folder.resolve("config.json"), CONFIG.replace("127.0.0.1:1\",\"seed",
+                    "127.0.0.1:" + discovery.port() + "\",\"seed"));
+            ProcessBuilder command = new ProcessBuilder("/bin/sh", "-c", "ulimit -n 256; exec \"$0\" -XX:+UseSerialGC -cp \"$1\""
+                    + " milletyoke.cli.Main serve", Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    System.getProperty("java.class.path"));
+            command.environment().put("LB_CONFIG", file.toString());
+            Process process = command.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+            started.add(process);
+            int port = Integer.parseInt(waitFor(process, "takes accesses at 127.0.0.1:(\\d+)").group(1));
+            while (!ready(port).endsWith("200")) {
+                Thread.sleep(10);
+            }
+            for (int i = 0; i < 600; i++) {
+                idle.add(new Socket("127.0.0.1", port));
+            }
+            int calls = discovery.asked().size();
+            discovery.open().forEach(c -> c.close("cut"));
+            while (discovery.asked().size() < calls + 2) {
+                assertTrue(process.isAlive(), log());
+                Thread.sleep(5);
+            }
+            try (Socket client = new Socket("127.0.0.1", port)) {
+                client.setSoTimeout(30_000);
+                client.getOutputStream().write(("GET /api HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Lane: c\r\nX-Plan: p\r\nCookie:"
+                        + " key=7f3a9c21e0b4d655\r\nX-Remaining: 20.0\r\nX-IO: volume=00000003b4d60021,units=1,shard=0,hosts=1"
+                        + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                assertEquals("HTTP/1.1 200", new String(client.getInputStream().readNBytes(12), StandardCharsets.US_ASCII));
+            }
+        } finally {
+            for (Socket s : idle) {
+                s.close();
+            }
+        }
+    }
 }
