--- a/gateway/src/main/java/milletyoke/gateway/link/Links.java
+++ b/gateway/src/main/java/milletyoke/gateway/link/Links.java
@@ -32,10 +32,11 @@
 public final class Links {
     /**
      * A connection that carries one relay at a time rests so long behind a reply (microseconds). Guards a relay against a second
-     * copy of the reply before its own, right behind it but in a packet of its own: nothing in it says whose it is. While the
-     * connection rests the copy comes when nothing is owed, and ends it. Could hold a relay back for that long.
+     * copy of the reply before its own, which may come some milliseconds late: nothing in it says whose it is. While the
+     * connection rests the copy comes when nothing is owed, and ends it. Seen 1 to 5 ms late; twice that. Could hold a relay
+     * back for that long where no other connection is free.
      */
-    static final long REST = 1_000;
+    static final long REST = 10_000;
 
     private final Outbox outbox;
     private final Transport transport;
