--- a/core/src/main/java/milletyoke/Decide.java
+++ b/core/src/main/java/milletyoke/Decide.java
@@ -17,7 +17,7 @@
     // The design's figures.
     private static final int BASE_BATCH = 4, LOTS = 64;
     private static final double FIRST_WINDOW = 4, WINDOW_CEILING = 16;
-    private static final double MARGIN_STEPS = 1.5, LEAST_FURTHER = 0.1;
+    private static final double MARGIN_STEPS = 1.5;
     /** An answer is late past this part of the shortest agreed time: at a target no tag order holds. */
     private static final double LATE_PART = 1.0 / 6;
     // Smoothing, as TCP does it for its round trips: a figure settles in about eight answers.
@@ -28,6 +28,7 @@
     private static final double SUSPECT = 0.05;
     /** What is said to wait at a target may take this part of that time, for accesses owed and for others. */
     private static final double JOIN_OWED = 0.75, JOIN_OTHERS = 0.25;
+    private static final double LEAST_FURTHER = 0.1;
     /** Trials and rests grow up to this many of the shortest agreed time; no lag outlives it unheard. */
     private static final long LONGEST_TRIAL = 4;
     /** Times between looks at what waits, and at what is only out (microseconds). */
@@ -37,8 +38,8 @@
     private static final long FIRST_ASK = 500_000;
     /** The rest of a limit's slack is for sums that another counts in another order. */
     private static final double SLACK_USED = 0.9;
-    /** Parts of a cold target's bound beyond its capacity, for what waits there, and of all, for lots. */
-    private static final double COLD_QUEUE = 1.0 / 8, COLD_LOTS = 1.0 / 2;
+    /** What waits at a cold target may take this part of what the bound leaves beyond its capacity. */
+    private static final double COLD_QUEUE = 1.0 / 8;
     private static final TreeSet<Held> NONE = new TreeSet<>(Held.AT_NODE);
     private static final Set<Outcome> MAY_STILL_RUN =
             EnumSet.of(Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED);
@@ -123,7 +124,6 @@
     private void start(Event.Start e) {
         bounds = e.provisioning().bounds();
         chance = new SplittableRandom(e.seed());
-        targets.lots = e.seed();
         startedAt = now;
         provision(e.provisioning());
         crowd = given.initiators() * LATE_PART > 2;
@@ -584,12 +584,13 @@
     /**
      * This initiator's even part of what a cold target bears; a former life may have sent all of it. It may
      * have more if a probe just told how little waits: what all sent was then served, within its capacity.
-     * Where the part holds no access a lot decides, one a window; all lots come to half the bound in mean.
-     * Guards targets of many initiators against serving nobody while cold; could push one over by chance.
      */
     private boolean coldBears(Held h, int t) {
+        if (!isCold(t)) {
+            return true;
+        }
         double queue = COLD_QUEUE * (bounds.tipMultiple() - 1) * bounds.fall();
-        if (!isCold(t) || probesTell && isTold(t) && targets.crowd[t] <= queue) {
+        if (probesTell && isTold(t) && targets.crowd[t] <= queue) {
             return true;
         }
         againAt(targets.launched[t] + bounds.cold());
@@ -597,24 +598,25 @@
             againAt(startedAt + bounds.fall());
             return false;
         }
-        double spent = targets.spentAfter(t, now - bounds.fall());
-        double lot = spent > 0 ? 1 : Math.min(1, targets.coldLot(t, now, bounds.fall()) / COLD_LOTS);
-        double missing = spent + lot * h.access.units() - coldPart(t);
-        againAt(spent > 0 ? targets.firstSpent(t) + bounds.fall() : targets.coldLotUntil[t]);
+        double missing = targets.spentAfter(t, now - bounds.fall()) + h.access.units() - coldPart(t);
+        againAt(targets.firstSpent(t) + bounds.fall());
         againAt(missing > 0 ? filledAt(missing, coldGrowth()) : again);
         return missing <= 0;
     }
 
     /** By how much a second the part grows while a target warms. */
     private double coldGrowth() {
-        double grown = bounds.coldShare() > 0 ? (1 / bounds.coldShare() - 1) / bounds.cold() : 0;
+        double share = bounds.coldShare();
+        double grown = share > 0 ? (1 - share) / share / bounds.cold() : 0;
         return 1e6 * bounds.coldBears() * grown / Math.max(1, given.initiators());
     }
 
     /** The bound grows as the target warms, which is never slower than evenly; the window's start counts. */
     private double coldPart(int t) {
-        long warmed = Math.max(0, now - bounds.fall() - targets.launched[t]);
-        return bounds.coldBears() / Math.max(1, given.initiators()) + coldGrowth() * warmed / 1e6;
+        double share = bounds.coldShare();
+        double warmed = Math.max(0, now - bounds.fall() - targets.launched[t]) / (double) bounds.cold();
+        double grown = share > 0 ? (share + (1 - share) * warmed) / share : 1;
+        return bounds.coldBears() * grown / Math.max(1, given.initiators());
     }
 
     private boolean itsTurn(Held h) {
--- a/core/src/main/java/milletyoke/State.java
+++ b/core/src/main/java/milletyoke/State.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
@@ -51,11 +50,6 @@
         double[] bar = {};
         long[] rest = {};
         final List<ArrayDeque<Spent>> coldSpent = new ArrayList<>();
-        /** The lot drawn for a cold target, until when no other is drawn, how many were, and what they are drawn from. */
-        double[] coldLot = {};
-        long[] coldLotUntil = {};
-        long[] coldLots = {};
-        long lots;
         /** When it was last found usable, or needed; 0 where nobody has looked yet. */
         long[] usableAt = {};
         /** Indexes whose target was forgotten. */
@@ -103,9 +97,6 @@
             toldUntil = Arrays.copyOf(toldUntil, count);
             rest = Arrays.copyOf(rest, count);
             bar = Arrays.copyOf(bar, count);
-            coldLot = Arrays.copyOf(coldLot, count);
-            coldLotUntil = Arrays.copyOf(coldLotUntil, count);
-            coldLots = Arrays.copyOf(coldLots, count);
         }
 
         /** Forgets a target: its index is as if never used, and may be used again. */
@@ -131,7 +122,6 @@
             bar[t] = 0;
             rest[t] = 0;
             usableAt[t] = 0;
-            coldLotUntil[t] = 0;
             coldSpent.get(t).clear();
             outs.get(t).clear();
             due.set(t, Timetable.NEVER);
@@ -163,18 +153,6 @@
             return units;
         }
 
-        /**
-         * The lot that holds now; one is drawn for each span at most. Each target's come from a sequence of their own, so they do
-         * not rest on the order in which targets are looked at.
-         */
-        double coldLot(int t, long now, long span) {
-            if (now >= coldLotUntil[t]) {
-                coldLotUntil[t] = now + span;
-                coldLot[t] = new SplittableRandom(lots + 0x9E3779B97F4A7C15L * (t + 1) ^ ++coldLots[t]).nextDouble();
-            }
-            return coldLot[t];
-        }
-
         /** When the first of those was sent; far off where there is none. */
         long firstSpent(int t) {
             return coldSpent.get(t).isEmpty() ? Timetable.NEVER / 2 : coldSpent.get(t).peekFirst().at();
