All fields from end to end pass on to targets, the mark of a keyed class among them

Cause: Reading.asked made the fields for the target anew (X-Lane, X-Plan, Cookie, X-IO) and left out all others, so the mark by which targets drop repeats was gone. Change: fields pass on as they came, names in their case, but for those that hold between two neighbours alone (RFC 9110 section 7.6.1, and what Connection names), X-Txn and X-Remaining, which are told anew. Shown: ServingTest.fieldsFromEndToEndPassOnAsTheyCame (idempotency-key is null without the change).

--- a/http/src/main/java/milletyoke/http/Decoder.java
+++ b/http/src/main/java/milletyoke/http/Decoder.java
@@ -287,7 +287,8 @@
         while (to > from && (line[to - 1] == ' ' || line[to - 1] == '\t')) {
             to--;
         }
-        return new Message.Field(text(0, colon).toLowerCase(Locale.ROOT), text(from, to));
+        String sent = text(0, colon);
+        return new Message.Field(sent.toLowerCase(Locale.ROOT), text(from, to), sent);
     }
 
     /** How the body is framed (RFC 9112 section 6.3), without its last resorts. */
--- a/http/src/main/java/milletyoke/http/Message.java
+++ b/http/src/main/java/milletyoke/http/Message.java
@@ -1,6 +1,7 @@
 package milletyoke.http;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * One whole request or answer (RFC 9112).
@@ -11,8 +12,23 @@
  * @param fields in the order in which they came
  */
 public record Message(String method, String target, int status, List<Field> fields, byte[] body) {
-    /** @param name in lower case */
-    public record Field(String name, String value) {}
+    /** What holds between two neighbours alone and is never passed on (RFC 9110 section 7.6.1), beside what Connection names. */
+    private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+            "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "host");
+
+    /** @param name in lower case @param sent the name as it came */
+    public record Field(String name, String value, String sent) {}
+
+    /** Fields from end to end but those named (in lower case), each as a line, as they came. */
+    public String endToEnd(Set<String> but) {
+        StringBuilder lines = new StringBuilder();
+        for (Field f : fields) {
+            if (!HOP_BY_HOP.contains(f.name()) && !but.contains(f.name()) && !isOption(f.name())) {
+                lines.append(f.sent()).append(": ").append(f.value()).append("\r\n");
+            }
+        }
+        return lines.toString();
+    }
 
     /** The value of a field that may stand there once; null where it does not, or stands there several times. */
     public String only(String name) {
@@ -39,10 +55,15 @@
 
     /** Whether the sender closes after this message (RFC 9112 section 9.6). */
     public boolean saysClose() {
+        return isOption("close");
+    }
+
+    /** Whether Connection names it. */
+    private boolean isOption(String name) {
         for (Field f : fields) {
             if (f.name().equals("connection")) {
                 for (String option : f.value().split(",")) {
-                    if (option.strip().equalsIgnoreCase("close")) {
+                    if (option.strip().equalsIgnoreCase(name)) {
                         return true;
                     }
                 }
