Whose time is over no longer holds up the others that wait for a connection

Cause, by reading: since Links.serveWaiting stopped at one whose time was over, and those behind it stayed without a connection until their own time was over, where the connection had just come. A dial of over 200 ms makes it. Not shown that this is what failed there; the case does it on any late dial. Change: it is passed over, and ended by the look at the clock in the same turn, as before. Shown: LinksTest.whoseTimeIsOverDoesNotHoldUpTheOthers (with the line before, y is not sent).

--- a/gateway/src/main/java/milletyoke/gateway/link/Links.java
+++ b/gateway/src/main/java/milletyoke/gateway/link/Links.java
@@ -279,14 +279,12 @@
     private void serveWaiting(Link link) {
         while (!link.waiting.isEmpty()) {
             Out out = link.waiting.peekFirst();
-            if (!out.over && now >= out.due()) {
-                return; // its time is over, though the look at the clock that ends it comes later in this turn
-            }
-            if (!out.over && !transmit(link, out)) {
+            boolean late = now >= out.due(); // the look at the clock that ends it comes later in this turn
+            if (!out.over && !late && !transmit(link, out)) {
                 return;
             }
             link.waiting.removeFirst();
-            if (!out.over) {
+            if (!out.over && !late) {
                 byDue.remove(out); // its due time is another now
                 byDue.add(out);
             }
--- a/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/link/LinksTest.java
@@ -477,4 +477,16 @@
         assertEquals(List.of(), late.sent);
         assertEquals(Map.of("x", Outcome.NO_CONNECTION), ended);
     }
+
+    /** One whose time is over does not keep those behind it from the connection that came. */
+    @Test
+    void whoseTimeIsOverDoesNotHoldUpTheOthers() {
+        links.listed("a", new Address("127.0.0.1", 1));
+        relay(0, "x");
+        relay(500, "y");
+        Fake late = up(CONNECT, dials.keySet().iterator().next());
+        links.look(CONNECT);
+        assertEquals(List.of("y"), late.sent.stream().map(f -> f.getRelay().getId()).toList());
+        assertEquals(Map.of("x", Outcome.NO_CONNECTION), ended);
+    }
 }
