Answer every pipelined request, in order, in place of discarding those without room

What callers saw: a client that pipelined more than 128 KiB behind a request in progress got that request's response and the end of the connection; all requests behind it were read and lost.

Cause: pipelined input was kept as bytes until its turn. Reading must not stop, since only reading shows that a client left (0.1 s), so bytes beyond the limit were dropped, and nothing knew which requests were in them (ClientConnection.bufferPipelined).

Change: RequestInput decodes requests as they arrive. PipelinedRequests keeps up to 512 KiB of them and counts the others, which get 503 in their turn, up to 256 in one write. A request whose body finds no memory in the shared budget is delivered without it (BodyPolicy) and answered 503; the connection goes on. A request does not begin while a response waits to be written, so an unread connection holds one response. Requests before malformed input are answered first.

--- a/gateway/src/main/java/milletyoke/gateway/loop/Counter.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Counter.java
@@ -67,7 +67,7 @@
     /** Client connections on which no whole request was received in time. */
     CLIENTS_TIMED_OUT,
 
-    /** Client connections whose pipelined requests were discarded for lack of room. */
+    /** Pipelined requests that were rejected because there was no memory to keep them. */
     PIPELINE_OVERFLOWS,
 
     /** Endpoint lists and updates received from discovery. */
--- a/http/src/main/java/milletyoke/http/HttpMessage.java
+++ b/http/src/main/java/milletyoke/http/HttpMessage.java
@@ -10,11 +10,23 @@
  * @param target the request target as received (RFC 9112 section 3.2); empty for a response
  * @param status the status code; 0 for a request
  * @param headers all header fields, in the order in which they were received
+ * @param isBodyOmitted whether the message had a body that was dropped for lack of memory
  */
 @SuppressWarnings(
         "ArrayRecordComponent") // bodies are passed on without copying and are never compared
 public record HttpMessage(
-        String method, String target, int status, List<HeaderField> headers, byte[] body) {
+        String method,
+        String target,
+        int status,
+        List<HeaderField> headers,
+        byte[] body,
+        boolean isBodyOmitted) {
+    /** Estimated memory of the objects of a message without the characters of its texts. */
+    private static final int MESSAGE_OVERHEAD_BYTES = 200;
+
+    /** Estimated memory of the objects of one header field without its characters. */
+    private static final int FIELD_OVERHEAD_BYTES = 150;
+
     /**
      * Lower-case names of the headers that apply to a single connection and are never forwarded
      * (RFC 9110 section 7.6.1), in addition to those listed in the Connection header.
@@ -62,6 +74,15 @@
         return !HOP_BY_HOP_HEADERS.contains(name) && !isConnectionOption(name);
     }
 
+    /** Returns an estimate of the memory that the message occupies, in bytes. */
+    public int estimatedBytes() {
+        int bytes = MESSAGE_OVERHEAD_BYTES + target.length() + body.length;
+        for (HeaderField field : headers) {
+            bytes += FIELD_OVERHEAD_BYTES + 2 * field.name().length() + field.value().length();
+        }
+        return bytes;
+    }
+
     /** Returns the value of a header, or null if the message does not have it exactly once. */
     public String singleHeader(String name) {
         String value = null;
--- a/http/src/main/java/milletyoke/http/HttpMessageDecoder.java
+++ b/http/src/main/java/milletyoke/http/HttpMessageDecoder.java
@@ -86,17 +86,23 @@
         this(side, limits, null);
     }
 
+    /** Creates a decoder that rejects a message for whose body the budget has no room. */
+    public HttpMessageDecoder(Side side, Limits limits, SharedByteBudget budget) {
+        this(side, limits, budget, BodyPolicy.REJECT_WITHOUT_MEMORY);
+    }
+
     /**
      * Creates a decoder whose bodies share a budget with other decoders.
      *
      * @param budget bounds the bytes of all bodies beyond the first 2 KiB of each; {@link #discard}
      *     releases the bytes of this decoder
      */
-    public HttpMessageDecoder(Side side, Limits limits, SharedByteBudget budget) {
+    public HttpMessageDecoder(
+            Side side, Limits limits, SharedByteBudget budget, BodyPolicy bodyPolicy) {
         this.side = side;
         this.limits = limits;
         startLine = new StartLine(side);
-        body = new BodyBuffer(budget);
+        body = new BodyBuffer(budget, bodyPolicy);
     }
 
     /** Releases the memory of the body. To be called when no more input follows. */
@@ -369,7 +375,12 @@
 
     private HttpMessage message(byte[] content) {
         return new HttpMessage(
-                startLine.method(), startLine.target(), startLine.status(), headers, content);
+                startLine.method(),
+                startLine.target(),
+                startLine.status(),
+                headers,
+                content,
+                body.isOmitted());
     }
 
     private HttpMessage finishMessage() {
