Rate limits: units are reserved at the decision and taken when the attempt is written

Cause: AttemptSender took the units when an attempt was decided. The targets count them when the last byte arrives, up to 1.5 s later where a connection comes up late. Meanwhile the bucket fills again, a burst takes its whole depth, and the late attempts arrive with it. Also, the retry of an attempt that was never written took no units, although its arrival is the one that counts.

Reserved units count against the contents, which never exceed the depth, so no lateness lets a full bucket be spent twice. An attempt that was never written gives its units back; one in doubt took them. The event causes no turn of its own. PoolSweep and SchedulerEvents are split off the dispatcher and the tracker.

--- a/core/src/main/java/milletyoke/scheduler/AttemptCompletion.java
+++ b/core/src/main/java/milletyoke/scheduler/AttemptCompletion.java
@@ -26,6 +26,7 @@
     private final FairQueue fairQueue;
     private final SlowStart slowStart;
     private final LoadReports loadReports;
+    private final RateLimits rateLimits;
     private final ActiveSettings settings;
 
     AttemptCompletion(
@@ -41,6 +42,7 @@
             FairQueue fairQueue,
             SlowStart slowStart,
             LoadReports loadReports,
+            RateLimits rateLimits,
             ActiveSettings settings) {
         this.targets = targets;
         this.pendingRequests = pendingRequests;
@@ -54,9 +56,18 @@
         this.fairQueue = fairQueue;
         this.slowStart = slowStart;
         this.loadReports = loadReports;
+        this.rateLimits = rateLimits;
         this.settings = settings;
     }
 
+    /** Records that the attempt in flight was written to its target's connection. */
+    void recordWritten(Event.AttemptWritten written) {
+        PendingRequest request = pendingRequests.find(written.id());
+        if (request != null) {
+            rateLimits.recordWritten(request, written.writtenAtMicros());
+        }
+    }
+
     /** Processes the end of an attempt; ignores outcomes of any attempt but the one in flight. */
     void complete(Event.AttemptEnded ended) {
         PendingRequest request = pendingRequests.find(ended.id());
@@ -71,6 +82,7 @@
         targetHealth.releaseSlot(request, target);
         loadReports.recordEnd(request, ended);
         slowStart.recordEnd(request, target, ended.outcome());
+        rateLimits.recordEnd(request, ended.outcome());
         updateTarget(target, request, ended);
         targetHealth.scheduleCheck(target);
         updateRequest(target, request, ended.outcome());
--- a/core/src/main/java/milletyoke/scheduler/AttemptSender.java
+++ b/core/src/main/java/milletyoke/scheduler/AttemptSender.java
@@ -42,9 +42,8 @@
         }
         if (request.attempts > 0) {
             retryBudget.recordRetry();
-        } else if (request.hasRateLimit()) {
-            rateLimits.spend(request);
         }
+        rateLimits.reserve(request);
         reservations.spend(request);
         loadReports.recordSend(request, target);
         if (slowStart.isWarmingUp(target)) {
--- a/core/src/main/java/milletyoke/scheduler/PendingRequest.java
+++ b/core/src/main/java/milletyoke/scheduler/PendingRequest.java
@@ -67,6 +67,12 @@
 
     int attempts;
 
+    /** Whether units of its rate limit are reserved for the attempt in flight. */
+    boolean hasReservedUnits;
+
+    /** Whether an attempt took the units of the request from its rate limit. */
+    boolean hasSpentUnits;
+
     /** Target of the first attempt that may have executed, -1 for none. */
     int executedOn = -1;
 
@@ -104,6 +110,11 @@
         return plan != null && plan.limitRate() > 0;
     }
 
+    /** Returns whether the next attempt needs units of a rate limit. */
+    boolean needsLimitUnits() {
+        return hasRateLimit() && !hasSpentUnits;
+    }
+
     /**
      * Returns through how many initiators the volume sends; each has an equal part of the rate
      * limit.
--- a/core/src/main/java/milletyoke/scheduler/RateLimits.java
+++ b/core/src/main/java/milletyoke/scheduler/RateLimits.java
@@ -1,12 +1,26 @@
 package milletyoke.scheduler;
 
+import java.util.EnumSet;
+import java.util.Set;
+import milletyoke.scheduler.api.Outcome;
 import milletyoke.scheduler.api.SchedulerSettings.ServicePlan;
 
 /**
  * Enforces the rate limits of volumes by token buckets: this initiator's part of what the plan
- * allows a volume. First attempts spend tokens, retries do not.
+ * allows a volume.
+ *
+ * <p>A request takes its units when its last byte reaches a target, which may be long after its
+ * attempt was decided if the connection comes up late. So units are reserved when an attempt is
+ * decided and taken when it is written. What is reserved counts against the contents of the bucket,
+ * which do not exceed its depth; therefore no lateness lets a full bucket be spent again before the
+ * reserved units are. An attempt that was never written gives its units back. A request whose units
+ * were taken needs none for its retries.
  */
 final class RateLimits {
+    /** Outcomes of attempts that were not written, unless it was reported that they were. */
+    private static final Set<Outcome> NEVER_WRITTEN =
+            EnumSet.of(Outcome.NO_CONNECTION, Outcome.NOT_STARTED);
+
     private final DispatchQueue dispatchQueue;
     private final ActiveSettings settings;
     private final Turn turn;
@@ -39,14 +53,18 @@
         bucket.set(units(bucket), turn.now());
     }
 
-    /** Returns what a bucket contains now under its plan. */
+    /** Returns what a bucket contains now under its plan, reserved units included. */
     double units(TokenBucket bucket) {
+        return unitsAt(turn.now(), bucket);
+    }
+
+    private double unitsAt(long time, TokenBucket bucket) {
         ServicePlan plan = settings.plan(bucket.plan);
         if (plan == null || plan.limitRate() <= 0) {
             return bucket.units;
         }
         return TokenBucket.unitsAt(
-                turn.now(),
+                time,
                 bucket,
                 settings.startedAt(),
                 plan.limitRate() / bucket.initiatorCount,
@@ -64,12 +82,16 @@
         }
     }
 
-    /** Returns whether the bucket of its volume holds enough for the first attempt of a request. */
+    /**
+     * Returns whether the bucket of its volume holds enough unreserved units for the next attempt
+     * of a request.
+     */
     boolean isWithinLimit(PendingRequest request) {
-        if (request.attempts > 0 || !request.hasRateLimit()) {
+        if (!request.needsLimitUnits()) {
             return true;
         }
-        double missing = request.received.units() - availableUnits(request);
+        double reservedUnits = dispatchQueue.limitBucket(request).reservedUnits;
+        double missing = request.received.units() - (availableUnits(request) - reservedUnits);
         if (missing > 0) {
             boolean isSamePlan = dispatchQueue.limitBucket(request).isPlanOf(request.received);
             turn.recheckBy(
@@ -80,13 +102,51 @@
         return missing <= 0;
     }
 
-    /** Takes the tokens of a first attempt. */
-    void spend(PendingRequest request) {
+    /** Reserves the units of an attempt that is sent now. */
+    void reserve(PendingRequest request) {
+        if (!request.needsLimitUnits()) {
+            return;
+        }
         TokenBucket bucket = dispatchQueue.limitBucket(request);
-        bucket.set(availableUnits(request) - request.received.units(), turn.now());
+        bucket.set(availableUnits(request), turn.now());
+        bucket.reservedUnits += request.received.units();
+        request.hasReservedUnits = true;
         dispatchQueue.usePlan(bucket, request);
     }
 
+    /** Takes the reserved units of an attempt that was written, as of {@code writtenAt}. */
+    void recordWritten(PendingRequest request, long writtenAt) {
+        if (!request.hasReservedUnits) {
+            return;
+        }
+        TokenBucket bucket = request.volume.limitBucket;
+        long takenAt = Math.max(writtenAt, bucket.updatedAt);
+        removeReservation(request, bucket);
+        bucket.set(unitsAt(takenAt, bucket) - request.received.units(), takenAt);
+        request.hasSpentUnits = true;
+    }
+
+    /**
+     * Settles the reserved units of an attempt that ended before it was reported as written: gives
+     * them back if it provably was not, and takes them otherwise.
+     */
+    void recordEnd(PendingRequest request, Outcome outcome) {
+        if (!request.hasReservedUnits) {
+            return;
+        }
+        if (NEVER_WRITTEN.contains(outcome)) {
+            removeReservation(request, request.volume.limitBucket);
+            dispatchQueue.invalidate(request.volume);
+        } else {
+            recordWritten(request, turn.now());
+        }
+    }
+
+    private static void removeReservation(PendingRequest request, TokenBucket bucket) {
+        bucket.reservedUnits -= request.received.units();
+        request.hasReservedUnits = false;
+    }
+
     private double availableUnits(PendingRequest request) {
         TokenBucket bucket = dispatchQueue.limitBucket(request);
         double depth = depth(request.plan) / request.initiatorCount();
--- a/core/src/main/java/milletyoke/scheduler/RequestScheduler.java
+++ b/core/src/main/java/milletyoke/scheduler/RequestScheduler.java
@@ -104,6 +104,8 @@
             handleEndpointList(list);
         } else if (event instanceof Event.RequestReceived received) {
             admitter.admit(received);
+        } else if (event instanceof Event.AttemptWritten written) {
+            attemptCompletion.recordWritten(written);
         } else if (event instanceof Event.AttemptEnded ended) {
             attemptCompletion.complete(ended);
         } else if (event instanceof Event.ProbeEnded probe) {
--- a/core/src/main/java/milletyoke/scheduler/SchedulerComponents.java
+++ b/core/src/main/java/milletyoke/scheduler/SchedulerComponents.java
@@ -107,6 +107,7 @@
                     fairQueue,
                     slowStart,
                     loadReports,
+                    rateLimits,
                     settings);
     final ShardDispatcher shardDispatcher =
             new ShardDispatcher(
--- a/core/src/main/java/milletyoke/scheduler/SendGuard.java
+++ b/core/src/main/java/milletyoke/scheduler/SendGuard.java
@@ -96,7 +96,7 @@
         return retryBudget.allows(request);
     }
 
-    /** First attempts stay within the rate limit of their volume. */
+    /** What reaches the targets stays within the rate limit of its volume. */
     private boolean withinRateLimit(PendingRequest request) {
         return rateLimits.isWithinLimit(request);
     }
--- a/core/src/main/java/milletyoke/scheduler/ShardDispatcher.java
+++ b/core/src/main/java/milletyoke/scheduler/ShardDispatcher.java
@@ -82,9 +82,8 @@
     }
 
     private boolean mayUseSpareSlot(PendingRequest request) {
-        boolean isNotRateLimited = request.attempts > 0 || !request.hasRateLimit();
         return turn.now() <= request.objectiveAt
-                || (!settings.hasManyInitiators() && isNotRateLimited);
+                || (!settings.hasManyInitiators() && !request.needsLimitUnits());
     }
 
     /**
--- a/core/src/main/java/milletyoke/scheduler/TokenBucket.java
+++ b/core/src/main/java/milletyoke/scheduler/TokenBucket.java
@@ -10,6 +10,10 @@
     private static final double LONGEST_FILL_MICROS = 1e15;
 
     double units;
+
+    /** Units of attempts that were decided and are not written yet; they are not taken out yet. */
+    double reservedUnits;
+
     long updatedAt;
 
     /** Plan by whose rate the bucket fills; null before its first use. */
--- a/core/src/main/java/milletyoke/scheduler/api/Event.java
+++ b/core/src/main/java/milletyoke/scheduler/api/Event.java
@@ -64,6 +64,13 @@
             double units)
             implements Event {}
 
+    /**
+     * The last byte of the attempt in flight was handed to the connection to its target. Precedes
+     * the end of the attempt; may be left out if the attempt ends first. May be delivered with any
+     * later events: {@code writtenAtMicros} says when it happened.
+     */
+    record AttemptWritten(String id, long writtenAtMicros) implements Event {}
+
     /** An attempt ended; {@code answered} is true if the client already has its final response. */
     record AttemptEnded(
             String id, int attemptNumber, boolean answered, Outcome outcome, long latencyMicros)
--- a/core/src/test/java/milletyoke/scheduler/DifferentialTest.java
+++ b/core/src/test/java/milletyoke/scheduler/DifferentialTest.java
@@ -54,6 +54,10 @@
         final boolean hasUnevenSizes;
 
         final List<Action.SendAttempt> inFlight = new ArrayList<>();
+
+        /** Writes of attempts that were not reported yet. */
+        final List<Event.AttemptWritten> unreportedWrites = new ArrayList<>();
+
         final List<String> probes = new ArrayList<>();
         final java.util.Map<String, Integer> attempts = new java.util.HashMap<>();
         long now = 1_000_000_000L;
@@ -167,7 +171,7 @@
 
         List<Event> step() {
             now += random.nextInt(50) == 0 ? random.nextInt(400_000) : random.nextInt(6_000);
-            List<Event> events = new ArrayList<>();
+            List<Event> events = reportedWrites();
             for (int i = random.nextInt(5); i > 0; i--) {
                 events.add(event());
             }
@@ -177,6 +181,22 @@
             return events;
         }
 
+        /** Some attempts are never reported as written, some later than in the next step. */
+        private List<Event> reportedWrites() {
+            List<Event> reported = new ArrayList<>();
+            for (Event.AttemptWritten write : List.copyOf(unreportedWrites)) {
+                int kind = Math.floorMod(write.id().hashCode() + attempts.get(write.id()), 8);
+                boolean isLate = kind == 1 || kind == 2;
+                if (!isLate || now - write.writtenAtMicros() > 60_000L * kind) {
+                    unreportedWrites.remove(write);
+                    if (kind > 0) {
+                        reported.add(isLate ? new Event.AttemptWritten(write.id(), now) : write);
+                    }
+                }
+            }
+            return reported;
+        }
+
         private Event event() {
             int kind = random.nextInt(100);
             if (kind < 45) {
@@ -265,6 +285,7 @@
             for (Action action : actions) {
                 if (action instanceof Action.SendAttempt attempt) {
                     inFlight.add(attempt);
+                    unreportedWrites.add(new Event.AttemptWritten(attempt.id(), now));
                     attempts.merge(attempt.id(), 1, Integer::sum);
                 } else if (action instanceof Action.SendProbe probe) {
                     probes.add(probe.target());
--- a/core/src/test/java/milletyoke/scheduler/ScenarioTest.java
+++ b/core/src/test/java/milletyoke/scheduler/ScenarioTest.java
@@ -47,6 +47,9 @@
     private final List<SchedulerSettings.ServicePlan> plans = new ArrayList<>();
     private final RequestScheduler scheduler = new RequestScheduler();
 
+    /** Reports of attempts that the scheduler sent in earlier batches. */
+    private final List<Event> writes = new ArrayList<>();
+
     static Stream<Arguments> scenarios() throws Exception {
         Path folder = Path.of(ScenarioTest.class.getResource("/scenarios").toURI());
         String common = Files.readString(folder.resolve("common.txt"));
@@ -118,13 +121,28 @@
         String actions =
                 batch.isEmpty()
                         ? ""
-                        : scheduler.decide(time, batch).stream()
+                        : decide(time, batch).stream()
                                 .filter(action -> !(action instanceof Action.ScheduleWakeUp))
                                 .map(ScenarioTest::text)
                                 .collect(Collectors.joining(", "));
         return actions.isEmpty() ? "nothing" : actions;
     }
 
+    /** Reports attempts as written at once, unless the scenario reports that itself. */
+    private List<Action> decide(long time, List<Event> batch) {
+        List<Event> events = new ArrayList<>(writes);
+        events.addAll(batch);
+        List<Action> actions = scheduler.decide(time, events);
+        writes.clear();
+        for (Action action : actions) {
+            if (action instanceof Action.SendAttempt attempt
+                    && !givenValues.containsKey("writes")) {
+                writes.add(new Event.AttemptWritten(attempt.id(), time));
+            }
+        }
+        return actions;
+    }
+
     private static SchedulerSettings.ServicePlan plan(String name, ScenarioLine line) {
         return new SchedulerSettings.ServicePlan(
                 name,
@@ -181,6 +199,7 @@
                             line.named.getOrDefault("cat", "read"),
                             (int) line.number("hosts", 1),
                             line.number("units", 1));
+            case "written" -> new Event.AttemptWritten(line.word(2), line.ms("at", 0));
             case "end" ->
                     new Event.AttemptEnded(
                             line.word(2),
--- a/core/src/test/java/milletyoke/scheduler/reference/ReferenceScheduler.java
+++ b/core/src/test/java/milletyoke/scheduler/reference/ReferenceScheduler.java
@@ -187,6 +187,9 @@
             handleEndpointList(list);
         } else if (event instanceof Event.RequestReceived received) {
             admit(received);
+        } else if (event instanceof Event.AttemptWritten written
+                && pendingRequests.containsKey(written.id())) {
+            takeReserved(pendingRequests.get(written.id()), written.writtenAtMicros());
         } else if (event instanceof Event.AttemptEnded ended) {
             completeAttempt(ended);
         } else if (event instanceof Event.ProbeEnded probe
@@ -506,9 +509,7 @@
                             && availableSlots(shardQueue) > 0
                             && canJoin(request, shardQueue.target);
             boolean mayUseSlot =
-                    now <= request.objectiveAt
-                            || !hasManyInitiators
-                                    && (request.attempts > 0 || !hasRateLimit(request));
+                    now <= request.objectiveAt || !hasManyInitiators && !needsLimitUnits(request);
             if (!hasSlot || !mayUseSlot || !trySend(request, shardQueue.target)) {
                 rejectOrFail(request);
             }
@@ -724,8 +725,9 @@
         }
         if (request.attempts > 0) {
             inRetryWindow(retries).addLast(now);
-        } else if (hasRateLimit(request)) {
-            spendLimit(request);
+        }
+        if (needsLimitUnits(request)) {
+            reserveLimit(request);
         }
         spendReservation(request);
         request.reportedDelayMicros =
@@ -922,9 +924,14 @@
     }
 
     private boolean withinRateLimit(PendingRequest request) {
-        return request.attempts > 0
-                || !hasRateLimit(request)
-                || availableUnits(request) >= request.received.units();
+        return !needsLimitUnits(request)
+                || request.received.units()
+                                - (availableUnits(request) - limitBucket(request).reservedUnits)
+                        <= 0;
+    }
+
+    private static boolean needsLimitUnits(PendingRequest request) {
+        return hasRateLimit(request) && !request.hasSpentUnits;
     }
 
     private static boolean hasRateLimit(PendingRequest request) {
@@ -972,9 +979,43 @@
                 : Math.min(limitDepth(request), refilledUnits(bucket));
     }
 
-    private void spendLimit(PendingRequest request) {
+    private void takeReserved(PendingRequest request, long writtenAt) {
+        if (!request.hasReservedUnits) {
+            return;
+        }
+        TokenBucket bucket = limitBuckets.get(request.received.volume());
+        long takenAt = Math.max(writtenAt, bucket.updatedAt);
+        ServicePlan plan = plans.get(bucket.plan);
+        double level = bucket.units;
+        if (plan != null && plan.limitRate() > 0) {
+            level +=
+                    plan.limitRate()
+                            / bucket.initiatorCount
+                            * (takenAt - Math.max(bucket.updatedAt, startedAt))
+                            / MICROS_PER_SECOND;
+            level = Math.min(limitDepth(plan) / bucket.initiatorCount, level);
+        }
+        bucket.units = level - request.received.units();
+        bucket.updatedAt = takenAt;
+        bucket.reservedUnits -= request.received.units();
+        request.hasReservedUnits = false;
+        request.hasSpentUnits = true;
+    }
+
+    private void settleReserved(PendingRequest request, Outcome outcome) {
+        boolean neverWritten = outcome == Outcome.NO_CONNECTION || outcome == Outcome.NOT_STARTED;
+        if (request.hasReservedUnits && neverWritten) {
+            limitBuckets.get(request.received.volume()).reservedUnits -= request.received.units();
+            request.hasReservedUnits = false;
+        }
+        takeReserved(request, now);
+    }
+
+    private void reserveLimit(PendingRequest request) {
         TokenBucket bucket = limitBucket(request);
-        bucket.units = availableUnits(request) - request.received.units();
+        bucket.units = availableUnits(request);
+        bucket.reservedUnits += request.received.units();
+        request.hasReservedUnits = true;
         bucket.updatedAt = now;
         bucket.plan = request.received.plan();
         bucket.initiatorCount = initiatorCount(request);
@@ -1036,6 +1077,7 @@
         releaseSlot(request, target);
         recordReportAccuracy(request, ended);
         recordWarmUpSendEnd(target, request, ended.outcome());
+        settleReserved(request, ended.outcome());
         updateTarget(target, request, ended);
         boolean mayStillExecute = MAY_STILL_EXECUTE.contains(ended.outcome());
         KeySequence sequence = sequenceOf(request);
--- a/core/src/test/java/milletyoke/scheduler/reference/ReferenceState.java
+++ b/core/src/test/java/milletyoke/scheduler/reference/ReferenceState.java
@@ -119,6 +119,12 @@
 
         int attempts;
 
+        /** Whether the attempt in flight has units reserved. */
+        boolean hasReservedUnits;
+
+        /** Whether the units of the request were taken. */
+        boolean hasSpentUnits;
+
         /** The target of the first attempt that may have executed, -1 for none. */
         int executedOn = -1;
 
@@ -176,6 +182,10 @@
     /** A token bucket: the units that it contained at a time. */
     static final class TokenBucket {
         double units;
+
+        /** Units of attempts that were not written yet. */
+        double reservedUnits;
+
         long updatedAt;
 
         /** The plan that sets the rate; null until the bucket is first used. */
--- a/gateway/src/main/java/milletyoke/gateway/dispatch/AttemptDispatcher.java
+++ b/gateway/src/main/java/milletyoke/gateway/dispatch/AttemptDispatcher.java
@@ -23,9 +23,6 @@
  * <p>Owned by the event loop. Uses no sockets and no clock, so that a simulation can run it.
  */
 public final class AttemptDispatcher {
-    private static final long MIN_SWEEP_INTERVAL_MICROS = 1_000;
-    private static final long MAX_SWEEP_INTERVAL_MICROS = 250_000;
-
     private final WriteBatch writeBatch;
     private final Transport transport;
     private final Connector connector;
@@ -34,13 +31,13 @@
     private final Map<Connection, PooledConnection> connections = new HashMap<>();
     private final OutstandingAttempts outstanding;
     private final AttemptTimeouts timeouts = new AttemptTimeouts();
+    private final PoolSweep poolSweep;
 
     /** Time of the current call. */
     private long nowMicros;
 
     private long nextFrameNumber = 1;
     private long nextConnectNumber = 1;
-    private long nextSweepMicros;
 
     /**
      * Creates a dispatcher without targets.
@@ -58,6 +55,9 @@
         this.connector = connector;
         this.counters = counters;
         outstanding = new OutstandingAttempts(listener, isExclusive());
+        poolSweep =
+                new PoolSweep(
+                        transport, counters, pools.values(), this::failWaitingUnlessConnecting);
     }
 
     // ---- Endpoint list ----
@@ -199,6 +199,9 @@
         attempt.markSent(available);
         available.inFlight.put(attempt.frameNumber, attempt);
         available.lastUsedMicros = nowMicros;
+        if (!available.connection.reportsWrites()) {
+            outstanding.reportWritten(attempt, nowMicros);
+        }
         return true;
     }
 
@@ -281,6 +284,15 @@
         }
     }
 
+    /** Handles the writing of a frame; ignored if its attempt or probe is no longer in flight. */
+    public void frameWritten(Connection connection, long frameNumber, long writtenAtMicros) {
+        PooledConnection pooled = connections.get(connection);
+        OutboundAttempt attempt = pooled == null ? null : pooled.inFlight.get(frameNumber);
+        if (attempt != null) {
+            outstanding.reportWritten(attempt, writtenAtMicros);
+        }
+    }
+
     /** Handles a reply to an attempt; ignored if the attempt is no longer in flight. */
     public void attemptReplied(
             long now, long receivedAtMicros, Connection connection, AttemptReply reply) {
@@ -326,8 +338,9 @@
 
     /** Returns when {@link #handleTimeouts} must run next; Long.MAX_VALUE for never. */
     public long nextDueMicros() {
-        long nextSweep = pools.isEmpty() ? Long.MAX_VALUE : nextSweepMicros;
-        return Math.min(Math.min(nextReusableMicros(), timeouts.nextDueMicros()), nextSweep);
+        return Math.min(
+                Math.min(nextReusableMicros(), timeouts.nextDueMicros()),
+                poolSweep.nextDueMicros());
     }
 
     /** Returns when the first awaited connection may be reused; Long.MAX_VALUE for never. */
@@ -355,28 +368,7 @@
             end(due, due.timeoutOutcome(now));
             due = timeouts.pollDue(now);
         }
-        if (now >= nextSweepMicros) {
-            sweep();
-        }
-    }
-
-    private void sweep() {
-        long intervalMicros = Math.min(transport.connectTimeoutMicros(), MAX_SWEEP_INTERVAL_MICROS);
-        nextSweepMicros = nowMicros + Math.max(MIN_SWEEP_INTERVAL_MICROS, intervalMicros);
-        pools.values().forEach(this::sweep);
-        pools.values().removeIf(ConnectionPool::isDisposable);
-    }
-
-    private void sweep(ConnectionPool pool) {
-        pool.removeEndedWaiting();
-        int cancelledCount = pool.cancelExpiredConnects(nowMicros);
-        for (int i = 0; i < cancelledCount; i++) {
-            counters.increment(Counter.CONNECTS_FAILED);
-        }
-        if (cancelledCount > 0) {
-            failWaitingUnlessConnecting(pool);
-        }
-        pool.closeIdle(nowMicros);
+        poolSweep.runIfDue(now);
     }
 
     private void end(OutboundAttempt attempt, Outcome outcome) {
--- a/gateway/src/main/java/milletyoke/gateway/dispatch/AttemptListener.java
+++ b/gateway/src/main/java/milletyoke/gateway/dispatch/AttemptListener.java
@@ -5,10 +5,16 @@
 import milletyoke.wire.proto.Load;
 
 /**
- * Listener that is called exactly once, on the loop's thread, for the end of each attempt and
- * probe.
+ * Listener that is called, on the loop's thread, exactly once for the end of each attempt and
+ * probe, and before that for the writing of an attempt.
  */
 public interface AttemptListener {
+    /**
+     * Called when the last byte of an attempt was handed to the connection; not called if the
+     * attempt ends before that is known.
+     */
+    default void onAttemptWritten(String requestId, int attemptNumber, long writtenAtMicros) {}
+
     /**
      * Called when an attempt ended.
      *
--- a/gateway/src/main/java/milletyoke/gateway/dispatch/OutstandingAttempts.java
+++ b/gateway/src/main/java/milletyoke/gateway/dispatch/OutstandingAttempts.java
@@ -37,6 +37,13 @@
         return attemptsByKey.get(key(requestId, attemptNumber));
     }
 
+    /** Reports that an attempt was written; does nothing for a probe. */
+    void reportWritten(OutboundAttempt attempt, long writtenAtMicros) {
+        if (!attempt.isProbe()) {
+            listener.onAttemptWritten(attempt.requestId, attempt.attemptNumber, writtenAtMicros);
+        }
+    }
+
     /** Ends an attempt or probe without a reply; does nothing if it has ended. */
     void end(long nowMicros, OutboundAttempt attempt, Outcome outcome) {
         end(nowMicros, attempt, outcome, null, null);
--- a/gateway/src/main/java/milletyoke/gateway/loop/LoopMessage.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/LoopMessage.java
@@ -35,6 +35,9 @@
         /** Handles the end of a connection to a target. */
         void onConnectionLost(ConnectionLost message);
 
+        /** Handles the writing of an attempt or probe. */
+        void onFrameWritten(FrameWritten message);
+
         /** Handles a target's reply to an attempt. */
         void onAttemptReplied(AttemptReplied message);
 
@@ -129,6 +132,19 @@
         }
     }
 
+    /**
+     * The last byte of an attempt or probe was handed to the operating system.
+     *
+     * @param number the frame number of the attempt or probe
+     */
+    record FrameWritten(Connection connection, long number, long writtenAtMicros)
+            implements LoopMessage {
+        @Override
+        public void accept(Visitor visitor) {
+            visitor.onFrameWritten(this);
+        }
+    }
+
     /**
      * A target replied to an attempt.
      *
--- a/gateway/src/main/java/milletyoke/gateway/loop/MessageHandler.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/MessageHandler.java
@@ -98,6 +98,11 @@
                 message.unwritten());
     }
 
+    @Override
+    public void onFrameWritten(LoopMessage.FrameWritten message) {
+        dispatcher.frameWritten(message.connection(), message.number(), message.writtenAtMicros());
+    }
+
     @Override
     public void onAttemptReplied(LoopMessage.AttemptReplied message) {
         dispatcher.attemptReplied(
--- a/gateway/src/main/java/milletyoke/gateway/loop/RequestTracker.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/RequestTracker.java
@@ -1,7 +1,6 @@
 package milletyoke.gateway.loop;
 
 import com.google.protobuf.ByteString;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
 import milletyoke.gateway.dispatch.AttemptListener;
@@ -48,7 +47,7 @@
     private final RequestIndex requests = new RequestIndex();
     private final DecisionLog decisionLog = new DecisionLog();
     private ActionSink actionSink;
-    private List<Event> events = new ArrayList<>();
+    private final SchedulerEvents events = new SchedulerEvents();
     private int unresolvedCount;
 
     /**
@@ -85,15 +84,14 @@
         events.add(event);
     }
 
+    /** Returns whether an event needs a turn of the scheduler. */
     boolean hasEvents() {
-        return !events.isEmpty();
+        return events.needTurn();
     }
 
     /** Returns the collected events and starts a new list. */
     List<Event> drainEvents() {
-        List<Event> drained = events;
-        events = new ArrayList<>();
-        return drained;
+        return events.drain();
     }
 
     // ---- Clients ----
@@ -209,6 +207,19 @@
 
     // ---- Outcomes of attempts and probes ----
 
+    @Override
+    public void onAttemptWritten(String requestId, int attemptNumber, long writtenAtMicros) {
+        if (isInFlight(requests.find(requestId), attemptNumber)) {
+            events.addDeferred(new Event.AttemptWritten(requestId, writtenAtMicros));
+        }
+    }
+
+    private static boolean isInFlight(TrackedRequest tracked, int attemptNumber) {
+        return tracked != null
+                && tracked.hasAttemptInFlight
+                && tracked.latestAttemptNumber() == attemptNumber;
+    }
+
     @Override
     public void onAttemptEnded(
             String requestId,
@@ -218,9 +229,7 @@
             Load load,
             ByteString payload) {
         TrackedRequest tracked = requests.find(requestId);
-        if (tracked == null
-                || !tracked.hasAttemptInFlight
-                || tracked.latestAttemptNumber() != attemptNumber) {
+        if (!isInFlight(tracked, attemptNumber)) {
             return; // its request is closed and no longer tracked
         }
         tracked.hasAttemptInFlight = false;
--- a/simhost/src/main/java/milletyoke/simhost/SimHost.java
+++ b/simhost/src/main/java/milletyoke/simhost/SimHost.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import milletyoke.scheduler.RequestScheduler;
+import milletyoke.scheduler.api.Action;
 import milletyoke.scheduler.api.Event;
 
 /**
@@ -19,6 +20,10 @@
     private final BufferedReader in;
     private final Writer out;
     private final Map<String, RequestScheduler> schedulers = new HashMap<>();
+
+    /** Attempts since the last batch; the simulator writes them at once and does not report it. */
+    private final Map<String, List<Event>> writtenByInstance = new HashMap<>();
+
     private final Map<String, Integer> queueLengthIndexes = new HashMap<>();
     private long line;
 
@@ -63,6 +68,7 @@
             switch (frame.type()) {
                 case "SHUTDOWN" -> {
                     schedulers.remove(instance);
+                    writtenByInstance.remove(instance);
                     events.clear();
                 }
                 case "FLEET" -> events.add(readEndpointList(frame));
@@ -76,6 +82,7 @@
         Event event = EventReader.read(frame, queueLengthIndexes.getOrDefault(instance, -1));
         if (event instanceof Event.Started) {
             schedulers.put(instance, new RequestScheduler());
+            writtenByInstance.put(instance, new ArrayList<>());
             queueLengthIndexes.put(instance, EventReader.queueLengthIndex(frame));
             events.clear();
         }
@@ -103,9 +110,15 @@
                     }
                     text.append("CONTEXT\t").append(instance).append('\n');
                     try {
-                        scheduler
-                                .decide(now, events)
-                                .forEach(action -> ActionWriter.write(action, text));
+                        List<Event> written = writtenByInstance.get(instance);
+                        events.addAll(0, written);
+                        written.clear();
+                        for (Action action : scheduler.decide(now, events)) {
+                            ActionWriter.write(action, text);
+                            if (action instanceof Action.SendAttempt attempt) {
+                                written.add(new Event.AttemptWritten(attempt.id(), now));
+                            }
+                        }
                     } catch (RuntimeException e) {
                         StackTraceElement[] trace = e.getStackTrace();
                         String cause = e + (trace.length > 0 ? " at " + trace[0] : "");
--- a/wire/src/main/java/milletyoke/wire/Connection.java
+++ b/wire/src/main/java/milletyoke/wire/Connection.java
@@ -32,6 +32,14 @@
     /** Writes all enqueued frames. */
     default void flush() {}
 
+    /**
+     * Returns whether the owner of the connection reports when a frame was written. If not, a frame
+     * counts as written when it was accepted.
+     */
+    default boolean reportsWrites() {
+        return false;
+    }
+
     /** Sends the reason to the peer and closes the connection; unwritten frames may be lost. */
     void closeWithReason(String reason);
 
