serve reloads its configuration also where SIGHUP is ignored at the start

Cause: the JVM leaves a signal as it is that is ignored at its start; Signal.handle says so by returning SIG_IGN, and ServeCommand did not look. Nothing was logged.

Change: ServeCommand looks at the return value. Where SIGHUP works nothing changes: a file that is still being prepared is not read early. An ignored SIGTERM is reported at the start.

--- a/cli/src/main/java/milletyoke/cli/ServeCommand.java
+++ b/cli/src/main/java/milletyoke/cli/ServeCommand.java
@@ -12,6 +12,8 @@
 import milletyoke.platform.process.InitiatorProcess;
 import milletyoke.wire.ExecutionEnvironment;
 import milletyoke.wire.SocketEnvironment;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.ExitCode;
 import picocli.CommandLine.Option;
@@ -20,8 +22,8 @@
 
 /**
  * The command {@code serve}: runs one initiator as a service of the platform. SIGHUP reloads its
- * configuration; SIGTERM and SIGINT shut it down gracefully. Signal handlers run on their own
- * threads; the main thread waits.
+ * configuration, as does a change of the file if SIGHUP is ignored; SIGTERM and SIGINT shut it down
+ * gracefully. Signal handlers run on their own threads; the main thread waits.
  */
 @Command(
         name = ServeCommand.NAME,
@@ -35,6 +37,7 @@
 
     private static final String CONFIG_VARIABLE = "LB_CONFIG";
     private static final long FAULT_CHECK_MILLIS = 500;
+    private static final Logger LOG = LoggerFactory.getLogger(ServeCommand.class);
 
     @Option(
             names = "--config",
@@ -66,12 +69,12 @@
         AtomicBoolean reloadRequested = new AtomicBoolean();
         // Handlers are installed before the process listens and can be seen as ready: without them,
         // SIGHUP would kill the process, and SIGTERM would lose its pending requests.
-        Signal.handle(
-                new Signal("HUP"),
+        SignalHandler reloadHandler =
                 signal -> {
                     reloadRequested.set(true);
                     reloadIfRequested(started.get(), reloadRequested);
-                });
+                };
+        boolean isReloadSignalIgnored = isIgnoredAfterInstalling("HUP", reloadHandler);
         ExecutionEnvironment environment = new SocketEnvironment();
         AtomicLong noticedAtMicros = new AtomicLong();
         SignalHandler shutdownHandler =
@@ -79,10 +82,17 @@
                     noticedAtMicros.compareAndSet(0, environment.monotonicMicros());
                     shutdownRequested.countDown();
                 };
-        Signal.handle(new Signal("TERM"), shutdownHandler);
-        Signal.handle(new Signal("INT"), shutdownHandler);
+        if (isIgnoredAfterInstalling("TERM", shutdownHandler)) {
+            LOG.warn(
+                    "SIGTERM was ignored when this process started and has no effect:"
+                            + " SIGINT shuts it down, unless that is ignored too");
+        }
+        isIgnoredAfterInstalling("INT", shutdownHandler); // usual in the background of a shell
         InitiatorProcess process = InitiatorProcess.start(config, environment);
         started.set(process);
+        if (isReloadSignalIgnored) {
+            reloadOnFileChange(process, config);
+        }
         reloadIfRequested(process, reloadRequested);
         while (!shutdownRequested.await(FAULT_CHECK_MILLIS, TimeUnit.MILLISECONDS)) {
             if (process.eventLoop().fault() != null) {
@@ -94,6 +104,24 @@
         return process.shutDown(noticedAtMicros.get()) ? ExitCode.OK : ExitCode.SOFTWARE;
     }
 
+    private static void reloadOnFileChange(InitiatorProcess process, Path config) {
+        LOG.warn(
+                "SIGHUP was ignored when this process started and has no effect:"
+                        + " the configuration file is checked for changes instead file={}",
+                config);
+        process.reloadOnFileChange();
+    }
+
+    /**
+     * Installs a signal handler. The JVM leaves a signal as it is that was ignored when the process
+     * started, for instance under nohup.
+     *
+     * @return whether the signal is ignored, so that the handler is never called
+     */
+    private static boolean isIgnoredAfterInstalling(String signal, SignalHandler handler) {
+        return Signal.handle(new Signal(signal), handler).equals(SignalHandler.SIG_IGN);
+    }
+
     /** Reloads once for all signals since the last reload, including those during start-up. */
     private static void reloadIfRequested(InitiatorProcess process, AtomicBoolean reloadRequested) {
         if (process != null && reloadRequested.getAndSet(false)) {
--- a/cli/src/test/java/milletyoke/cli/ServeProcessTest.java
+++ b/cli/src/test/java/milletyoke/cli/ServeProcessTest.java
@@ -128,7 +128,7 @@
     void idleClientsDoNotBlockDiscoveryOrTargets() throws Exception {
         List<Socket> idleClients = new ArrayList<>();
         try (ScriptedHttpServer target = startTarget();
-                ScriptedHttpServer discovery = startDiscovery(target.port())) {
+                ScriptedHttpServer discovery = startDiscovery(target.port(), "up", 1)) {
             Path file =
                     Files.writeString(
                             folder.resolve("config.json"),
@@ -155,6 +155,47 @@
         }
     }
 
+    /**
+     * The parent ignores SIGHUP, as nohup does, and so does the child. A new configuration moves
+     * discovery, whose list at the new address drains the only target: nothing more is sent there.
+     */
+    @Test
+    void aNewConfigurationIsAppliedIfHangupIsIgnored() throws Exception {
+        try (ScriptedHttpServer target = startTarget();
+                ScriptedHttpServer discovery = startDiscovery(target.port(), "up", 1);
+                ScriptedHttpServer moved = startDiscovery(target.port(), "draining", 2)) {
+            String config =
+                    CONFIG.replace(
+                            "127.0.0.1:1\",\"seed", "127.0.0.1:" + discovery.port() + "\",\"seed");
+            Path file = Files.writeString(folder.resolve("config.json"), config);
+            Process process = serve(withIgnoredSignals("HUP"), file);
+            int port = awaitPort(process);
+            awaitReady(port);
+            assertEquals("HTTP/1.1 200", sendRequest(port));
+            Files.writeString(
+                    file,
+                    config.replace(discovery.port() + "\",\"seed", moved.port() + "\",\"seed"));
+            new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+            waitFor(process, "configuration reloaded discovery=127.0.0.1:" + moved.port());
+            while (readinessStatus(port).endsWith("200")) {
+                Thread.sleep(10); // until the list of the new address was received
+            }
+            assertEquals("HTTP/1.1 503", sendRequest(port));
+            assertEquals(1, target.requests().size());
+            assertTrue(log().contains("SIGHUP was ignored"), log());
+        }
+    }
+
+    @Test
+    void anIgnoredTerminationIsReportedAtTheStart() throws Exception {
+        Process process =
+                serve(
+                        withIgnoredSignals("TERM"),
+                        Files.writeString(folder.resolve("config.json"), CONFIG));
+        awaitPort(process);
+        assertTrue(log().contains("SIGTERM was ignored"), log());
+    }
+
     private static ScriptedHttpServer startTarget() throws IOException {
         byte[] body = "served".getBytes(StandardCharsets.UTF_8);
         return new ScriptedHttpServer(
@@ -165,11 +206,16 @@
     /**
      * Starts a discovery with one target. It sends no response to a watch, which names a revision.
      */
-    private static ScriptedHttpServer startDiscovery(int targetPort) throws IOException {
+    private static ScriptedHttpServer startDiscovery(int targetPort, String state, int revision)
+            throws IOException {
         String endpointList =
-                "{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"t\",\"endpoint\":\"127.0.0.1:"
+                "{\"rev\":"
+                        + revision
+                        + ",\"all\":true,\"targets\":[{\"uid\":\"t\",\"endpoint\":\"127.0.0.1:"
                         + targetPort
-                        + "\",\"pod_group\":0,\"state\":\"up\"}]}";
+                        + "\",\"pod_group\":0,\"state\":\""
+                        + state
+                        + "\"}]}";
         byte[] body = endpointList.getBytes(StandardCharsets.UTF_8);
         return new ScriptedHttpServer(
                 "discovery",
@@ -181,11 +227,19 @@
     }
 
     private static ProcessBuilder withDescriptorLimit(int descriptors) {
+        return serveAfter("ulimit -n " + descriptors);
+    }
+
+    private static ProcessBuilder withIgnoredSignals(String signals) {
+        return serveAfter("trap '' " + signals);
+    }
+
+    /** Returns a shell that runs a command and then becomes {@code serve}. */
+    private static ProcessBuilder serveAfter(String shellCommand) {
         return new ProcessBuilder(
                 "/bin/sh",
                 "-c",
-                "ulimit -n "
-                        + descriptors
+                shellCommand
                         + "; exec \"$0\" -XX:+UseSerialGC -cp \"$1\" milletyoke.cli.Main serve",
                 ChildProcesses.JAVA,
                 System.getProperty("java.class.path"));
