Told time counts the wait in the accept queue and for the core

What targets saw: X-Remaining up to 222 ms more than was left (150 ms are allowed) at a cold process whose descriptors idle clients hold, up to 704 ms beside load: they work for clients that have given up.

Cause: ReadRounds missed three waits. The transport accepts one connection in a round, so the last of many new ones waits for all rounds before it; while accepting is paused, connections wait with their requests; and a selection that took over 0.5 ms passed for an idle thread, also if the thread did not get the core.

Change: a selection that finds no new connection shows that the accept queue is empty, and a new connection's bytes count from the last such moment.

Evidence: two new cases of HttpTransportTest, red on the code before (no wait counted after 300 ms in the queue; 313 ms counted of 3 s).

--- a/http/src/main/java/milletyoke/http/HttpConnection.java
+++ b/http/src/main/java/milletyoke/http/HttpConnection.java
@@ -5,7 +5,6 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Buffer;
@@ -39,6 +38,9 @@
     /** Maximum number of bytes that a peer may send during a graceful close before a reset. */
     private static final int MAX_DRAINED_BYTES = 1 << 20;
 
+    /** Rounds after which bytes were read that had arrived before the connection was accepted. */
+    private static final int ROUNDS_UNTIL_FIRST_READ = 2;
+
     private final int id;
     private final Connection<SocketAddress> connection;
     private final HttpTransport.Handler handler;
@@ -47,7 +49,7 @@
     /** The round in which the connection was opened, and when that may have been possible. */
     private final long openedInRound;
 
-    private final long earliestOpenNanos;
+    private final long earliestOpenMicros;
     private final AtomicBoolean isClosed = new AtomicBoolean();
     private final AtomicBoolean isOutputShutDown = new AtomicBoolean();
 
@@ -70,7 +72,7 @@
         this.id = id;
         this.readRounds = readRounds;
         openedInRound = readRounds.roundNumber();
-        earliestOpenNanos = readRounds.earliestArrivalNanos();
+        earliestOpenMicros = readRounds.earliestQueuedArrivalMicros();
         this.connection = (Connection<SocketAddress>) connection;
         this.handler = handler;
     }
@@ -117,9 +119,9 @@
      * microseconds. Called on the transport's thread.
      */
     public long maxUnreadMicros() {
-        boolean isFirstRound = readRounds.roundNumber() <= openedInRound + 1;
-        long arrivalNanos = isFirstRound ? earliestOpenNanos : readRounds.earliestArrivalNanos();
-        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - arrivalNanos);
+        boolean isFirstRead = readRounds.roundNumber() <= openedInRound + ROUNDS_UNTIL_FIRST_READ;
+        return readRounds.unreadMicros(
+                isFirstRead ? earliestOpenMicros : readRounds.earliestArrivalMicros());
     }
 
     void markClosedByPeer() {
--- a/http/src/main/java/milletyoke/http/HttpTransport.java
+++ b/http/src/main/java/milletyoke/http/HttpTransport.java
@@ -4,9 +4,11 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.CloseType;
@@ -80,7 +82,7 @@
     private final AtomicInteger lastId = new AtomicInteger();
     private final TCPNIOTransport transport;
 
-    private final ReadRounds readRounds = new ReadRounds();
+    private final ReadRounds readRounds;
 
     /** Held while a connection is read and its handler is called. */
     private final ReentrantLock readLock = new ReentrantLock();
@@ -88,12 +90,19 @@
     /** Shared by all connections, since a single thread reads them. */
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
 
+    /** Starts a transport with the clock of this machine. */
+    public HttpTransport(String name) throws IOException {
+        this(name, () -> TimeUnit.NANOSECONDS.toMicros(System.nanoTime()));
+    }
+
     /**
      * Starts a transport.
      *
      * @param name the name of the thread, without its suffix {@code -io}
+     * @param clock monotonic, in microseconds
      */
-    public HttpTransport(String name) throws IOException {
+    public HttpTransport(String name, LongSupplier clock) throws IOException {
+        readRounds = new ReadRounds(clock);
         ThreadPoolConfig threads =
                 ThreadPoolConfig.defaultConfig()
                         .setPoolName(name + "-io")
@@ -128,6 +137,7 @@
                             .processor(filterChain(handlerFactory))
                             .build()
                             .bind(new InetSocketAddress(host, port), BACKLOG);
+            readRounds.addListener(server);
             return new BoundListener(transport, server);
         } catch (IOException cause) {
             throw new IOException(
--- a/http/src/test/java/milletyoke/http/HttpTransportTest.java
+++ b/http/src/test/java/milletyoke/http/HttpTransportTest.java
@@ -16,7 +16,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -322,6 +324,76 @@
         }
     }
 
+    /** Handles one byte of each connection, and reports how long it may have waited. */
+    private static HttpTransport.Handler reportingHandler(
+            BlockingQueue<Long> unread, long openMillis) {
+        return new RecordingHandler() {
+            @Override
+            public void opened(HttpConnection connection) {
+                super.opened(connection);
+                sleep(openMillis);
+            }
+
+            @Override
+            public void read(HttpConnection from, ByteBuffer in) {
+                unread.add(from.maxUnreadMicros());
+            }
+        };
+    }
+
+    /** The connection waits in the accept queue with its byte, while nothing is accepted. */
+    @Test
+    void bytesOfAConnectionThatWaitsToBeAcceptedCountAsUnread() throws Exception {
+        BlockingQueue<Long> unread = new LinkedBlockingQueue<>();
+        try (HttpTransport transport = new HttpTransport("test")) {
+            HttpTransport.Listener listener =
+                    transport.listen("127.0.0.1", 0, () -> reportingHandler(unread, 0));
+            sleep(BLOCKED_MILLIS);
+            listener.pause();
+            sleep(BLOCKED_MILLIS);
+            try (Socket waiting = connect(listener.port())) {
+                waiting.getOutputStream().write('w');
+                sleep(BLOCKED_MILLIS);
+                listener.resume();
+                assertTrue(unread.take() > 1_000 * BLOCKED_MILLIS, "since the queue was empty");
+            }
+            sleep(BLOCKED_MILLIS);
+            try (Socket prompt = connect(listener.port())) {
+                prompt.getOutputStream().write('p');
+                long unreadMicros = unread.take();
+                assertTrue(unreadMicros < 500 * BLOCKED_MILLIS, "counted " + unreadMicros);
+            }
+        }
+    }
+
+    /** Connections are accepted one in a round, and the rounds are long. */
+    @Test
+    void bytesOfTheLastOfManyNewConnectionsCountAsUnread() throws Exception {
+        BlockingQueue<Long> unread = new LinkedBlockingQueue<>();
+        int count = 30;
+        List<Socket> sockets = new ArrayList<>();
+        try (HttpTransport transport = new HttpTransport("test")) {
+            HttpTransport.Listener listener =
+                    transport.listen(
+                            "127.0.0.1",
+                            0,
+                            () -> reportingHandler(unread, 10 * BLOCKED_MILLIS / count));
+            for (int i = 0; i < count; i++) {
+                sockets.add(connect(listener.port()));
+                sockets.get(i).getOutputStream().write('n');
+            }
+            long longestMicros = 0;
+            for (int i = 0; i < count; i++) {
+                longestMicros = Math.max(longestMicros, unread.take());
+            }
+            assertTrue(longestMicros > 9_000 * BLOCKED_MILLIS, "counted " + longestMicros);
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
     private static Socket connect(int port) throws IOException {
         return new Socket(InetAddress.getLoopbackAddress(), port);
     }
