HardCasesTest waits until the endpoint list is saved before it kills the initiator

Cause: the test assumed that the list is on disk once an attempt has arrived. It is saved by the side thread, with a sync, and the kill stops that thread at once; where the disk is busy, the kill comes first. A killed process may lose its newest list; what the test guards is that a saved one survives.

Change: the test waits for the file before the kill. All assertions are as they were, and a list that is never saved still fails it.

--- a/scenario/src/test/java/milletyoke/scenario/HardCasesTest.java
+++ b/scenario/src/test/java/milletyoke/scenario/HardCasesTest.java
@@ -504,6 +504,9 @@
             peers.sendRequest(peers.client, "write", 0, 4000);
             ScriptedPeers.Received attempt = a.nextAttempt();
             PeerConnection connection = peers.client.connection;
+            ScriptedPeers.await(
+                    () -> java.nio.file.Files.exists(folder.resolve("targets.list")),
+                    "the endpoint list is saved");
             peers.initiator.kill();
             ScriptedPeers.await(
                     () -> !connection.isOpen(), "the connection to the client is reset");
