initiator: requests pending at the shutdown timeout get their final response

What callers saw: when an operator's timeout for a shutdown was over, the daemon closed its connections; requests in progress got no response.

Cause: Initiator.shutDown waited for the event loop up to the timeout and closed the network whatever was left.

Change: ShutdownSequence, split off Initiator, has the scheduler end what is left (Event.ShutdownDeadlineReached, as in service) before clients get their second to close: rejected where a retry is safe, failed else. The last log line says so.

--- a/gateway/src/main/java/milletyoke/gateway/Initiator.java
+++ b/gateway/src/main/java/milletyoke/gateway/Initiator.java
@@ -46,10 +46,6 @@
 public final class Initiator implements EventLoop.LoopEnvironment {
     private static final Logger LOG = LoggerFactory.getLogger(Initiator.class);
 
-    /** How long to wait for clients to close after the event loop has ended. */
-    private static final long CLIENT_CLOSE_TIMEOUT_MILLIS = 1_000;
-
-    private static final long SHUTDOWN_POLL_MILLIS = 5;
     private static final long CONFIG_CHECK_INTERVAL_MILLIS = 500;
     private static final long MICROS_PER_MILLI = 1_000;
 
@@ -258,20 +254,12 @@
     /**
      * Shuts down gracefully and waits for the end.
      *
-     * @param millis maximum time to wait for pending requests; each is resolved by its deadline
-     * @return whether every request was resolved and the event loop did not fail
+     * @param millis maximum time to wait for pending requests; those that are left then are
+     *     rejected, or failed if they may have been executed
+     * @return whether every request was resolved in time and the event loop did not fail
      */
     public boolean shutDown(long millis) throws InterruptedException {
-        stopAdmitting();
-        boolean isClean = eventLoop.awaitEnd(millis);
-        clientListener.awaitClientsClosed(CLIENT_CLOSE_TIMEOUT_MILLIS);
-        return close(isClean);
-    }
-
-    private void stopAdmitting() {
-        clientListener.beginShutdown();
-        listener.stop();
-        eventLoop.post(new LoopMessage.BeginShutdown());
+        return close(newShutdownSequence().run(millis));
     }
 
     /**
@@ -280,30 +268,17 @@
      * @param onEnd runs when the initiator has ended
      */
     public void beginShutdown(long millis, Runnable onEnd) {
-        stopAdmitting();
-        pollLoopEnd(execution.monotonicMicros() + millis * MICROS_PER_MILLI, onEnd);
-    }
-
-    private void pollLoopEnd(long untilMicros, Runnable onEnd) {
-        if (!eventLoop.hasEnded() && execution.monotonicMicros() < untilMicros) {
-            pollAgain(() -> pollLoopEnd(untilMicros, onEnd));
-        } else {
-            long closeTimeoutMicros = CLIENT_CLOSE_TIMEOUT_MILLIS * MICROS_PER_MILLI;
-            pollClientsClosed(execution.monotonicMicros() + closeTimeoutMicros, onEnd);
-        }
-    }
-
-    private void pollClientsClosed(long untilMicros, Runnable onEnd) {
-        if (clientListener.hasClientsToClose() && execution.monotonicMicros() < untilMicros) {
-            pollAgain(() -> pollClientsClosed(untilMicros, onEnd));
-        } else {
-            close(eventLoop.hasEnded());
-            onEnd.run();
-        }
+        newShutdownSequence()
+                .begin(
+                        millis,
+                        isClean -> {
+                            close(isClean);
+                            onEnd.run();
+                        });
     }
 
-    private void pollAgain(Runnable poll) {
-        var unused = sideExecutor.schedule(poll, SHUTDOWN_POLL_MILLIS, TimeUnit.MILLISECONDS);
+    private ShutdownSequence newShutdownSequence() {
+        return new ShutdownSequence(execution, sideExecutor, eventLoop, clientListener, listener);
     }
 
     private boolean close(boolean isClean) {
@@ -318,7 +293,7 @@
         LOG.info(
                 "{} has left{}: {}",
                 config.name(),
-                isClean ? "" : " with accesses unanswered",
+                isClean ? "" : " after requests were ended at the timeout",
                 counters);
         return isClean && eventLoop.fault() == null;
     }
--- a/scenario/src/test/java/milletyoke/scenario/HardCasesTest.java
+++ b/scenario/src/test/java/milletyoke/scenario/HardCasesTest.java
@@ -1,6 +1,7 @@
 package milletyoke.scenario;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -110,6 +111,18 @@
         }
     }
 
+    /** Guards against requests that get no response when the timeout of a shutdown is over. */
+    @Test
+    void requestsPendingAtTheShutdownTimeoutGetTheirFinalResponse() throws Exception {
+        try (ScriptedPeers peers = new ScriptedPeers()) {
+            ScriptedPeers.Peer a = peers.target("a", 0);
+            peers.sendRequest(peers.client, "write", 0, 60_000);
+            a.nextAttempt(); // and no reply
+            assertFalse(peers.initiator.shutDown(200));
+            assertEquals(ResponseStatus.FAILED, peers.client.nextResponse(3000).getStatus());
+        }
+    }
+
     /**
      * Guards against lost requests: an initiator that shut down closed a connection without reading
      * the requests that had crossed its going-away frame. Seen once in CI.
