Retry budget: a retry is in the window from when it was written

Cause: the retry was counted when it was decided. One that waits 1 s for its connection leaves the initiator's window 1 s before the window in which it arrived.

Change: an unwritten retry counts beside the window; Event.AttemptWritten puts it in. One that provably never was written counts no more.

Evidence: a scenario in rules.scn, with retries counted at the decision: a second retry 200 ms after the first one's writing in a window of 1 s that allows one; green now.

--- a/core/src/main/java/milletyoke/scheduler/AttemptCompletion.java
+++ b/core/src/main/java/milletyoke/scheduler/AttemptCompletion.java
@@ -27,6 +27,7 @@
     private final SlowStart slowStart;
     private final LoadReports loadReports;
     private final RateLimits rateLimits;
+    private final RetryBudget retryBudget;
     private final ActiveSettings settings;
 
     AttemptCompletion(
@@ -43,6 +44,7 @@
             SlowStart slowStart,
             LoadReports loadReports,
             RateLimits rateLimits,
+            RetryBudget retryBudget,
             ActiveSettings settings) {
         this.targets = targets;
         this.pendingRequests = pendingRequests;
@@ -57,6 +59,7 @@
         this.slowStart = slowStart;
         this.loadReports = loadReports;
         this.rateLimits = rateLimits;
+        this.retryBudget = retryBudget;
         this.settings = settings;
     }
 
@@ -65,6 +68,7 @@
         PendingRequest request = pendingRequests.find(written.id());
         if (request != null) {
             rateLimits.recordWritten(request, written.writtenAtMicros());
+            retryBudget.recordWritten(request, written.writtenAtMicros());
         }
     }
 
@@ -83,6 +87,7 @@
         loadReports.recordEnd(request, ended);
         slowStart.recordEnd(request, target, ended.outcome());
         rateLimits.recordEnd(request, ended.outcome());
+        retryBudget.recordEnd(request, ended.outcome());
         updateTarget(target, request, ended);
         targetHealth.scheduleCheck(target);
         updateRequest(target, request, ended.outcome());
--- a/core/src/main/java/milletyoke/scheduler/AttemptSender.java
+++ b/core/src/main/java/milletyoke/scheduler/AttemptSender.java
@@ -41,7 +41,7 @@
             return false;
         }
         if (request.attempts > 0) {
-            retryBudget.recordRetry();
+            retryBudget.recordRetry(request);
         }
         rateLimits.reserve(request);
         reservations.spend(request);
--- a/core/src/main/java/milletyoke/scheduler/PendingRequest.java
+++ b/core/src/main/java/milletyoke/scheduler/PendingRequest.java
@@ -70,6 +70,9 @@
     /** Whether units of its rate limit are reserved for the attempt in flight. */
     boolean hasReservedUnits;
 
+    /** Whether the attempt in flight is a retry that was not reported as written. */
+    boolean hasUnwrittenRetry;
+
     /** Whether an attempt took the units of the request from its rate limit. */
     boolean hasSpentUnits;
 
--- a/core/src/main/java/milletyoke/scheduler/RateLimits.java
+++ b/core/src/main/java/milletyoke/scheduler/RateLimits.java
@@ -1,7 +1,5 @@
 package milletyoke.scheduler;
 
-import java.util.EnumSet;
-import java.util.Set;
 import milletyoke.scheduler.api.Outcome;
 import milletyoke.scheduler.api.SchedulerSettings.ServicePlan;
 
@@ -17,10 +15,6 @@
  * were taken needs none for its retries.
  */
 final class RateLimits {
-    /** Outcomes of attempts that were not written, unless it was reported that they were. */
-    private static final Set<Outcome> NEVER_WRITTEN =
-            EnumSet.of(Outcome.NO_CONNECTION, Outcome.NOT_STARTED);
-
     private final DispatchQueue dispatchQueue;
     private final ActiveSettings settings;
     private final Turn turn;
@@ -134,7 +128,7 @@
         if (!request.hasReservedUnits) {
             return;
         }
-        if (NEVER_WRITTEN.contains(outcome)) {
+        if (outcome.wasNeverWritten()) {
             removeReservation(request, request.volume.limitBucket);
             dispatchQueue.invalidate(request.volume);
         } else {
--- a/core/src/main/java/milletyoke/scheduler/RetryBudget.java
+++ b/core/src/main/java/milletyoke/scheduler/RetryBudget.java
@@ -1,10 +1,13 @@
 package milletyoke.scheduler;
 
+import milletyoke.scheduler.api.Outcome;
 import milletyoke.scheduler.api.SchedulerSettings.RuleLimits;
 
 /**
  * Limits retries within a sliding window to a share of the requests admitted in it, plus a fixed
- * number.
+ * number. A retry is in the window from when it was written, which may be long after it was decided
+ * if its connection comes up late. Until then it counts beside the window; one that was never
+ * written counts no more.
  */
 final class RetryBudget {
     private final DispatchQueue dispatchQueue;
@@ -12,6 +15,8 @@
     private final Turn turn;
     private final SlidingWindowCounter admissions = new SlidingWindowCounter();
     private final SlidingWindowCounter retries = new SlidingWindowCounter();
+    private int unwrittenRetries;
+    private long lastRetryAt;
     private boolean hadBudget;
 
     RetryBudget(DispatchQueue dispatchQueue, ActiveSettings settings, Turn turn) {
@@ -24,11 +29,38 @@
         admissions.add(turn.now(), windowStart());
     }
 
-    void recordRetry() {
-        retries.add(turn.now(), windowStart());
+    /** Records a retry that is sent now. */
+    void recordRetry(PendingRequest request) {
+        request.hasUnwrittenRetry = true;
+        unwrittenRetries++;
         update();
     }
 
+    /** Records that the attempt in flight was written, if it is a retry. */
+    void recordWritten(PendingRequest request, long writtenAt) {
+        if (request.hasUnwrittenRetry) {
+            removeUnwritten(request);
+            lastRetryAt = Math.max(lastRetryAt, writtenAt);
+            retries.add(lastRetryAt, windowStart());
+            update();
+        }
+    }
+
+    /** Settles a retry that ended before it was reported as written. */
+    void recordEnd(PendingRequest request, Outcome outcome) {
+        if (request.hasUnwrittenRetry && outcome.wasNeverWritten()) {
+            removeUnwritten(request);
+            update();
+        } else {
+            recordWritten(request, turn.now());
+        }
+    }
+
+    private void removeUnwritten(PendingRequest request) {
+        request.hasUnwrittenRetry = false;
+        unwrittenRetries--;
+    }
+
     /**
      * Marks flows that depend on the budget for another check when it is exhausted or becomes
      * available.
@@ -55,7 +87,7 @@
         RuleLimits limits = settings.limits();
         long since = windowStart();
         return limits.retryWindowMicros() == 0
-                || retries.countSince(since) + 1
+                || retries.countSince(since) + unwrittenRetries + 1
                         <= limits.freeRetries()
                                 + limits.retryShare() * admissions.countSince(since);
     }
--- a/core/src/main/java/milletyoke/scheduler/SchedulerComponents.java
+++ b/core/src/main/java/milletyoke/scheduler/SchedulerComponents.java
@@ -108,6 +108,7 @@
                     slowStart,
                     loadReports,
                     rateLimits,
+                    retryBudget,
                     settings);
     final ShardDispatcher shardDispatcher =
             new ShardDispatcher(
--- a/core/src/main/java/milletyoke/scheduler/api/Outcome.java
+++ b/core/src/main/java/milletyoke/scheduler/api/Outcome.java
@@ -13,5 +13,13 @@
     RESET,
     CANCELLED,
     /** The request provably never started to execute. */
-    NOT_STARTED
+    NOT_STARTED;
+
+    /**
+     * Returns whether no byte or not the last one of an attempt with this outcome was written,
+     * unless it was reported as written.
+     */
+    public boolean wasNeverWritten() {
+        return this == NO_CONNECTION || this == NOT_STARTED;
+    }
 }
--- a/core/src/test/java/milletyoke/scheduler/reference/ReferenceScheduler.java
+++ b/core/src/test/java/milletyoke/scheduler/reference/ReferenceScheduler.java
@@ -111,6 +111,8 @@
 
     private SchedulerSettings settings;
     private RuleLimits limits;
+    private int unwrittenRetries;
+    private long lastRetryAt;
     private SplittableRandom random;
     private long startedAt;
     private long shortestObjectiveMicros;
@@ -190,6 +192,7 @@
         } else if (event instanceof Event.AttemptWritten written
                 && pendingRequests.containsKey(written.id())) {
             takeReserved(pendingRequests.get(written.id()), written.writtenAtMicros());
+            countRetry(pendingRequests.get(written.id()), written.writtenAtMicros());
         } else if (event instanceof Event.AttemptEnded ended) {
             completeAttempt(ended);
         } else if (event instanceof Event.ProbeEnded probe
@@ -724,7 +727,8 @@
             return false;
         }
         if (request.attempts > 0) {
-            inRetryWindow(retries).addLast(now);
+            request.hasUnwrittenRetry = true;
+            unwrittenRetries++;
         }
         if (needsLimitUnits(request)) {
             reserveLimit(request);
@@ -911,7 +915,7 @@
     private boolean withinRetryBudget(PendingRequest request) {
         return request.attempts == 0
                 || limits.retryWindowMicros() == 0
-                || inRetryWindow(retries).size() + 1
+                || inRetryWindow(retries).size() + unwrittenRetries + 1
                         <= limits.freeRetries()
                                 + limits.retryShare() * inRetryWindow(admissions).size();
     }
@@ -1009,6 +1013,20 @@
             request.hasReservedUnits = false;
         }
         takeReserved(request, now);
+        if (request.hasUnwrittenRetry && neverWritten) {
+            request.hasUnwrittenRetry = false;
+            unwrittenRetries--;
+        }
+        countRetry(request, now);
+    }
+
+    private void countRetry(PendingRequest request, long writtenAt) {
+        if (request.hasUnwrittenRetry) {
+            request.hasUnwrittenRetry = false;
+            unwrittenRetries--;
+            lastRetryAt = Math.max(lastRetryAt, writtenAt);
+            inRetryWindow(retries).addLast(lastRetryAt);
+        }
     }
 
     private void reserveLimit(PendingRequest request) {
--- a/core/src/test/java/milletyoke/scheduler/reference/ReferenceState.java
+++ b/core/src/test/java/milletyoke/scheduler/reference/ReferenceState.java
@@ -122,6 +122,9 @@
         /** Whether the attempt in flight has units reserved. */
         boolean hasReservedUnits;
 
+        /** Whether the attempt in flight is a retry that was not written yet. */
+        boolean hasUnwrittenRetry;
+
         /** Whether the units of the request were taken. */
         boolean hasSpentUnits;
 
