--- /dev/null
+++ b/review/src/review/Discovery.java
@@ -0,0 +1,90 @@
+package review;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Discovery's agent: answers the whole list at once, and holds a watch until a change. */
+final class Discovery implements AutoCloseable {
+    private final ServerSocket server;
+    private final List<Target> targets;
+    private int revision = 41;
+
+    Discovery(List<Target> targets) throws IOException {
+        this.targets = targets;
+        server = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
+        Run.daemon("discovery", this::accept);
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    synchronized String list() {
+        return "{\"rev\":"
+                + revision
+                + ",\"all\":true,\"targets\":["
+                + targets.stream().map(Target::entry).collect(Collectors.joining(","))
+                + "]}";
+    }
+
+    /** Tells all watches that the states of the targets have changed. */
+    synchronized void changed() {
+        revision++;
+        notifyAll();
+    }
+
+    private void accept() throws IOException {
+        while (!server.isClosed()) {
+            Socket socket = server.accept();
+            Run.daemon("discovery-link", () -> serve(socket));
+        }
+    }
+
+    private void serve(Socket socket) throws Exception {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
+            Http.Message call = Http.read(in);
+            while (call != null) {
+                String path = call.path();
+                byte[] body = Http.bytes(path.contains("from=") ? watch(path) : list());
+                socket.getOutputStream().write(Http.ok(body));
+                call = Http.read(in);
+            }
+        } catch (IOException ended) {
+            // The initiator ended the connection.
+        }
+    }
+
+    private synchronized String watch(String path) throws InterruptedException {
+        long from = number(path, "from");
+        long until = System.currentTimeMillis() + number(path, "hold_ms");
+        long left = until - System.currentTimeMillis();
+        while (revision <= from && left > 0) {
+            wait(left);
+            left = until - System.currentTimeMillis();
+        }
+        return revision > from
+                ? list()
+                : "{\"rev\":" + revision + ",\"all\":false,\"targets\":[]}";
+    }
+
+    private static long number(String path, String name) {
+        for (String pair : path.substring(path.indexOf('?') + 1).split("&")) {
+            if (pair.startsWith(name + "=")) {
+                return Long.parseLong(pair.substring(name.length() + 1));
+            }
+        }
+        return 0;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
--- /dev/null
+++ b/review/src/review/ForeignCase.java
@@ -0,0 +1,165 @@
+package review;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Some answers of targets are followed by a second copy, a few milliseconds later, and the initiator
+ * is held up for 0.13 s about once a second. No client may get the answer to another request.
+ */
+public final class ForeignCase {
+    private static final int TARGETS = 9;
+    private static final int RATE = 300;
+    private static final int SECONDS = 75;
+    private static final double COPY_SHARE = 0.4;
+    private static final int MIN_LATE_MICROS = 2_000;
+    private static final int MAX_LATE_MICROS = 5_000;
+
+    /** A copy that this machine would send later than that is not sent. */
+    private static final int LATEST_MICROS = 6_000;
+
+    private static final int HOLD_MILLIS = 130;
+    private static final int MAX_HOLD_MICROS = 150_000;
+    private static final int HOLD_INTERVAL_MICROS = 1_000_000;
+
+    private final Run run;
+    private final AtomicInteger copies = new AtomicInteger();
+    private final AtomicInteger holds = new AtomicInteger();
+    private final AtomicLong longestHoldMicros = new AtomicLong();
+    private final AtomicLong nextHoldMicros = new AtomicLong(3_000_000);
+    private Gateway gateway;
+
+    private ForeignCase(Run run) {
+        this.run = run;
+    }
+
+    public static void main(String[] args) throws Exception {
+        int status = Run.COULD_NOT_RUN;
+        try (Run run = new Run(Path.of(args[0]))) {
+            status = new ForeignCase(run).play();
+        } catch (Exception failed) {
+            failed.printStackTrace();
+        }
+        Runtime.getRuntime().exit(status);
+    }
+
+    private int play() throws Exception {
+        List<Target> targets = new ArrayList<>();
+        for (int shard = 0; shard < TARGETS; shard++) {
+            targets.add(new Target("s-" + shard, shard, this::answer));
+        }
+        try (Discovery discovery = new Discovery(targets);
+                Gateway started = new Gateway(discovery, Gateway.SETTINGS)) {
+            gateway = started;
+            gateway.awaitReady();
+            try (Clients clients = new Clients(gateway.port(), run)) {
+                send(clients);
+                Thread.sleep(4_000);
+                return judge(clients);
+            }
+        }
+    }
+
+    private void send(Clients clients) throws Exception {
+        SplittableRandom random = new SplittableRandom(7);
+        long begin = run.micros();
+        int sent = 0;
+        while (run.micros() - begin < SECONDS * 1_000_000L) {
+            while (sent < (run.micros() - begin) * RATE / 1_000_000L) {
+                sent++;
+                clients.send("squad-read", random.nextInt(TARGETS), 2.5, new byte[0]);
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    private static byte[] body(String id) {
+        return Http.bytes("the object of " + id);
+    }
+
+    /** Answers after the time of the work; some answers have a second copy behind them. */
+    private void answer(Target target, Target.Link link, Http.Message request) throws Exception {
+        Thread.sleep(ThreadLocalRandom.current().nextInt(20, 50));
+        String id = request.header("x-txn");
+        byte[] answer = Http.ok(body(id));
+        link.write(answer);
+        long answeredMicros = run.micros();
+        run.note("target %s ran %s and answered", target.uid, id);
+        if (!run.hasTrouble || ThreadLocalRandom.current().nextDouble() >= COPY_SHARE) {
+            return;
+        }
+        long dueMicros =
+                answeredMicros
+                        + ThreadLocalRandom.current().nextInt(MIN_LATE_MICROS, MAX_LATE_MICROS);
+        holdIfDue(answeredMicros);
+        while (run.micros() < dueMicros) {
+            LockSupport.parkNanos(100_000);
+        }
+        long lateMicros = run.micros() - answeredMicros;
+        boolean isWaited = link.socket.getInputStream().available() > 0;
+        if (!isWaited && lateMicros <= LATEST_MICROS) {
+            link.write(answer);
+            copies.incrementAndGet();
+            run.note("target %s sent a second copy for %s, %d us late", target.uid, id, lateMicros);
+        }
+    }
+
+    /** Holds up the initiator from 1 ms after an answer on. */
+    private void holdIfDue(long answeredMicros) {
+        long due = nextHoldMicros.get();
+        if (answeredMicros < due
+                || !nextHoldMicros.compareAndSet(due, answeredMicros + HOLD_INTERVAL_MICROS)) {
+            return;
+        }
+        Run.daemon(
+                "hold",
+                () -> {
+                    LockSupport.parkNanos(1_000_000);
+                    long begin = run.micros();
+                    gateway.signal("STOP");
+                    Thread.sleep(HOLD_MILLIS);
+                    gateway.signal("CONT");
+                    holds.incrementAndGet();
+                    long heldMicros = run.micros() - begin;
+                    longestHoldMicros.accumulateAndGet(heldMicros, Math::max);
+                    run.note("initiator held up for %d us", heldMicros);
+                });
+    }
+
+    private int judge(Clients clients) throws IOException {
+        int foreign = 0;
+        for (Clients.Call call : clients.calls.values()) {
+            String body = new String(call.body, StandardCharsets.UTF_8);
+            run.note(
+                    "client sent %s at %d us, status %d at %d us: %s",
+                    call.id, call.sentMicros, call.status, call.answeredMicros, body);
+            if (call.status == 200 && !body.equals(new String(body(call.id), StandardCharsets.UTF_8))) {
+                foreign++;
+                run.result("BROKEN: the client of %s was answered 200 with: %s", call.id, body);
+            }
+        }
+        run.result(
+                "foreign answers %d; requests %d, 200 %d, 503 %d, 502 %d; second copies %d, holds %d",
+                foreign,
+                clients.calls.size(),
+                clients.count(200),
+                clients.count(503),
+                clients.count(502),
+                copies.get(),
+                holds.get());
+        if (longestHoldMicros.get() > MAX_HOLD_MICROS
+                || clients.count(200) < clients.calls.size() / 2) {
+            run.result("longest hold %d us", longestHoldMicros.get());
+            return Run.COULD_NOT_RUN;
+        }
+        return foreign > 0 ? Run.BROKEN : Run.HELD;
+    }
+}
