--- a/review/src/review/Discovery.java
+++ b/review/src/review/Discovery.java
@@ -6,14 +6,23 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Collectors;
 
 /** Discovery's agent: answers the whole list at once, and holds a watch until a change. */
 final class Discovery implements AutoCloseable {
     private final ServerSocket server;
     private final List<Target> targets;
+    private final long startMillis = System.currentTimeMillis();
     private int revision = 41;
 
+    /** The calls, with times since the start of discovery. */
+    final Queue<String> log = new ConcurrentLinkedQueue<>();
+
+    /** How long the answer to each call takes, beyond the time of a watch; discovery is slow. */
+    volatile long delayMillis;
+
     Discovery(List<Target> targets) throws IOException {
         this.targets = targets;
         server = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
@@ -32,8 +41,9 @@
                 + "]}";
     }
 
-    /** Tells all watches that the states of the targets have changed. */
-    synchronized void changed() {
+    /** Makes a change of the targets, and tells it to all watches. */
+    synchronized void change(Runnable change) {
+        change.run();
         revision++;
         notifyAll();
     }
@@ -52,8 +62,20 @@
             Http.Message call = Http.read(in);
             while (call != null) {
                 String path = call.path();
+                long calledMillis = System.currentTimeMillis() - startMillis;
                 byte[] body = Http.bytes(path.contains("from=") ? watch(path) : list());
+                Thread.sleep(delayMillis);
                 socket.getOutputStream().write(Http.ok(body));
+                log.add(
+                        "call at "
+                                + calledMillis
+                                + " ms: "
+                                + path
+                                + ", answered at "
+                                + (System.currentTimeMillis() - startMillis)
+                                + " ms with "
+                                + body.length
+                                + " bytes");
                 call = Http.read(in);
             }
         } catch (IOException ended) {
