--- a/review/src/review/ForeignCase.java
+++ b/review/src/review/ForeignCase.java
@@ -5,7 +5,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -19,6 +21,14 @@
     private static final int TARGETS = 9;
     private static final int RATE = 300;
     private static final int SECONDS = 75;
+    private static final String READ = "squad-read";
+
+    /** One-shot: it must never run twice. */
+    private static final String WRITE = "transfer-write";
+
+    /** Share of the requests that a target turns away without running them: its queue is full. */
+    private static final double FULL_SHARE = 0.1;
+
     private static final double COPY_SHARE = 0.4;
     private static final int MIN_LATE_MICROS = 2_000;
     private static final int MAX_LATE_MICROS = 5_000;
@@ -31,6 +41,7 @@
     private static final int HOLD_INTERVAL_MICROS = 1_000_000;
 
     private final Run run;
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private final AtomicInteger copies = new AtomicInteger();
     private final AtomicInteger holds = new AtomicInteger();
     private final AtomicLong longestHoldMicros = new AtomicLong();
@@ -75,7 +86,12 @@
         while (run.micros() - begin < SECONDS * 1_000_000L) {
             while (sent < (run.micros() - begin) * RATE / 1_000_000L) {
                 sent++;
-                clients.send("squad-read", random.nextInt(TARGETS), 2.5, new byte[0]);
+                boolean isWrite = random.nextBoolean();
+                clients.send(
+                        isWrite ? WRITE : READ,
+                        random.nextInt(TARGETS),
+                        isWrite ? 4.0 : 2.5,
+                        new byte[isWrite ? 200 : 0]);
             }
             Thread.sleep(1);
         }
@@ -89,10 +105,17 @@
     private void answer(Target target, Target.Link link, Http.Message request) throws Exception {
         Thread.sleep(ThreadLocalRandom.current().nextInt(20, 50));
         String id = request.header("x-txn");
-        byte[] answer = Http.ok(body(id));
+        boolean isFull = ThreadLocalRandom.current().nextDouble() < FULL_SHARE;
+        byte[] answer =
+                isFull
+                        ? Http.response(503, "Full", "X-Turned-Away: 1\r\n", new byte[0])
+                        : Http.ok(body(id));
+        if (!isFull) {
+            runs.merge(id, 1, Integer::sum);
+        }
         link.write(answer);
         long answeredMicros = run.micros();
-        run.note("target %s ran %s and answered", target.uid, id);
+        run.note("target %s %s %s", target.uid, isFull ? "turned away" : "ran and answered", id);
         if (!run.hasTrouble || ThreadLocalRandom.current().nextDouble() >= COPY_SHARE) {
             return;
         }
@@ -136,19 +159,40 @@
 
     private int judge(Clients clients) throws IOException {
         int foreign = 0;
+        int unrun = 0;
+        int twice = 0;
         for (Clients.Call call : clients.calls.values()) {
             String body = new String(call.body, StandardCharsets.UTF_8);
+            int ran = runs.getOrDefault(call.id, 0);
             run.note(
-                    "client sent %s at %d us, status %d at %d us: %s",
-                    call.id, call.sentMicros, call.status, call.answeredMicros, body);
-            if (call.status == 200 && !body.equals(new String(body(call.id), StandardCharsets.UTF_8))) {
+                    "client sent %s %s at %d us, ran %d times, status %d at %d us: %s",
+                    call.lane, call.id, call.sentMicros, ran, call.status, call.answeredMicros, body);
+            boolean isForeign =
+                    call.status == 200
+                            && !body.equals(new String(body(call.id), StandardCharsets.UTF_8));
+            if (isForeign) {
                 foreign++;
-                run.result("BROKEN: the client of %s was answered 200 with: %s", call.id, body);
+                run.result(
+                        "BROKEN: %s %s, which ran %d times, was answered 200 with: %s",
+                        call.lane, call.id, ran, body);
+            }
+            unrun += isForeign && ran == 0 ? 1 : 0;
+            if (call.lane.equals(WRITE) && ran > 1) {
+                twice++;
+                run.result("BROKEN: %s %s ran %d times", call.lane, call.id, ran);
+            }
+            if (call.lane.equals(WRITE) && ran > 0 && call.status == 503) {
+                twice++;
+                run.result("BROKEN: %s %s ran and was refused with 503", call.lane, call.id);
             }
         }
         run.result(
-                "foreign answers %d; requests %d, 200 %d, 503 %d, 502 %d; second copies %d, holds %d",
+                "answers to other requests %d (%d of them to requests that no target ran);"
+                        + " one-shot writes run twice or refused after a run %d; requests %d,"
+                        + " 200 %d, 503 %d, 502 %d; second copies %d, holds %d",
                 foreign,
+                unrun,
+                twice,
                 clients.calls.size(),
                 clients.count(200),
                 clients.count(503),
@@ -160,6 +204,6 @@
             run.result("longest hold %d us", longestHoldMicros.get());
             return Run.COULD_NOT_RUN;
         }
-        return foreign > 0 ? Run.BROKEN : Run.HELD;
+        return foreign + twice > 0 ? Run.BROKEN : Run.HELD;
     }
 }
