--- a/review/src/review/DuplicateCase.java
+++ b/review/src/review/DuplicateCase.java
@@ -23,7 +23,7 @@
     private static final int TARGETS = 9;
     private static final int RATE = 200;
     private static final long END_MICROS = 45_000_000;
-    private static final double SPOILT_SHARE = 0.3;
+    private static final double SPOILT_SHARE = 0.05;
 
     private final Run run;
 
--- a/review/src/review/ForeignCase.java
+++ b/review/src/review/ForeignCase.java
@@ -15,7 +15,7 @@
 
 /**
  * Some answers of targets are followed by a second copy, a few milliseconds later, and the initiator
- * is held up for 0.13 s about once a second. No client may get the answer to another request.
+ * is held up for 0.1 s about once a second. No client may get the answer to another request.
  */
 public final class ForeignCase {
     private static final int TARGETS = 9;
@@ -29,14 +29,14 @@
     /** Share of the requests that a target turns away without running them: its queue is full. */
     private static final double FULL_SHARE = 0.1;
 
-    private static final double COPY_SHARE = 0.4;
+    private static final double COPY_SHARE = 0.1;
     private static final int MIN_LATE_MICROS = 2_000;
     private static final int MAX_LATE_MICROS = 5_000;
 
     /** A copy that this machine would send later than that is not sent. */
     private static final int LATEST_MICROS = 6_000;
 
-    private static final int HOLD_MILLIS = 130;
+    private static final int HOLD_MILLIS = 100;
     private static final int MAX_HOLD_MICROS = 150_000;
     private static final int HOLD_INTERVAL_MICROS = 1_000_000;
 
