--- a/review/src/review/ForeignCase.java
+++ b/review/src/review/ForeignCase.java
@@ -29,7 +29,9 @@
     /** Share of the requests that a target turns away without running them: its queue is full. */
     private static final double FULL_SHARE = 0.1;
 
+    /** Share of the good answers (200) that have a second copy behind them. */
     private static final double COPY_SHARE = 0.1;
+
     private static final int MIN_LATE_MICROS = 2_000;
     private static final int MAX_LATE_MICROS = 5_000;
 
@@ -116,7 +118,11 @@
         link.write(answer);
         long answeredMicros = run.micros();
         run.note("target %s %s %s", target.uid, isFull ? "turned away" : "ran and answered", id);
-        if (!run.hasTrouble || ThreadLocalRandom.current().nextDouble() >= COPY_SHARE) {
+        boolean hasCopy =
+                run.hasTrouble
+                        && !isFull
+                        && ThreadLocalRandom.current().nextDouble() < COPY_SHARE;
+        if (!hasCopy) {
             return;
         }
         long dueMicros =
--- a/review/src/review/MemoryCase.java
+++ b/review/src/review/MemoryCase.java
@@ -16,7 +16,7 @@
 public final class MemoryCase {
     private static final int TARGETS = 9;
 
-    /** Requests a second; the page on the days that count allows three times 200. */
+    /** Requests a second; DAYS.md allows three times 200. */
     private static final int RATE = 320;
 
     private static final int BODY_BYTES = 60_000;
