Targets: the end of an attempt is told only after its connection has ended for the target

Cause: read, failPartialResponse and OutstandingAttempts.end reported before they closed, and the transport's close is asynchronous: terminateSilently leaves SocketChannel.close to the selector's thread and tells the close listeners first. So a close before the report did not help either.

Change: HttpConnection.endForPeer shuts down the output on the closing thread, under the connection's lock, before the handler hears of the close.

--- a/gateway/src/main/java/milletyoke/gateway/dispatch/OutstandingAttempts.java
+++ b/gateway/src/main/java/milletyoke/gateway/dispatch/OutstandingAttempts.java
@@ -9,7 +9,8 @@
 
 /**
  * Holds the attempts without an outcome by request id and attempt number. Ends each attempt and
- * probe once and reports its outcome. Owned by the event loop.
+ * probe once and reports its outcome, after its connection was closed if it is abandoned. Owned by
+ * the event loop.
  */
 final class OutstandingAttempts {
     private static final double UNKNOWN_QUEUE_LENGTH = -1;
@@ -85,15 +86,13 @@
         attempt.markEnded();
         if (attempt.isSent()) {
             attempt.connection.inFlight.remove(attempt.frameNumber);
+            closeIfAbandoned(attempt, outcome);
         }
         if (attempt.isProbe()) {
             reportProbeEnd(nowMicros, attempt, outcome, load);
         } else {
             reportAttemptEnd(nowMicros, attempt, outcome, load, payload);
         }
-        if (isExclusive && attempt.isSent()) {
-            closeIfAbandoned(attempt, outcome);
-        }
     }
 
     private void reportProbeEnd(long nowMicros, OutboundAttempt probe, Outcome outcome, Load load) {
@@ -118,9 +117,14 @@
                 payload);
     }
 
-    /** Closes the connection of an abandoned attempt, because its reply may still arrive. */
-    private static void closeIfAbandoned(OutboundAttempt attempt, Outcome outcome) {
-        if (outcome == Outcome.CANCELLED || outcome == Outcome.TIMED_OUT) {
+    /**
+     * Closes the connection of an abandoned attempt if it carries no other, because the reply may
+     * still arrive. The connection has ended for the target before the outcome is reported, since a
+     * retry may follow at once.
+     */
+    private void closeIfAbandoned(OutboundAttempt attempt, Outcome outcome) {
+        boolean isAbandoned = outcome == Outcome.CANCELLED || outcome == Outcome.TIMED_OUT;
+        if (isExclusive && isAbandoned) {
             attempt.connection.connection.close("attempt in flight was cancelled or timed out");
         }
     }
--- a/gateway/src/test/java/milletyoke/gateway/dispatch/AttemptDispatcherTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/dispatch/AttemptDispatcherTest.java
@@ -36,6 +36,10 @@
     private final List<String> probeResults = new ArrayList<>();
     private final Map<Long, String> pendingConnects = new LinkedHashMap<>();
     private final List<FakeConnection> connections = new ArrayList<>();
+
+    /** Requests whose attempt ended while a connection was open. */
+    private final List<String> endedWithOpenConnection = new ArrayList<>();
+
     private final AttemptDispatcher dispatcher =
             new AttemptDispatcher(
                     new Transport(
@@ -111,6 +115,9 @@
             ByteString payload) {
         Outcome previous = outcomes.put(requestId, outcome);
         assertEquals(null, previous, requestId + " ended twice");
+        if (connections.stream().anyMatch(connection -> connection.open)) {
+            endedWithOpenConnection.add(requestId);
+        }
     }
 
     @Override
@@ -463,6 +470,21 @@
      * At the maximum number of connections, an attempt waits for a free one, up to the connect
      * timeout.
      */
+    /** Guards against a retry that is sent while the abandoned attempt's connection is open. */
+    @Test
+    void connectionOfAbandonedAttemptIsClosedBeforeTheOutcomeIsReported() {
+        exclusiveDispatcher.targetListed("a", new Address("127.0.0.1", 1));
+        sendExclusive(0, "cancelled", 50_000);
+        establishExclusive(1, lastConnectNumber());
+        exclusiveDispatcher.cancelAttempt(2, "cancelled", 0);
+        sendExclusive(3, "timedOut", 50_000);
+        establishExclusive(4, lastConnectNumber());
+        exclusiveDispatcher.handleTimeouts(50_000);
+        assertEquals(
+                Map.of("cancelled", Outcome.CANCELLED, "timedOut", Outcome.TIMED_OUT), outcomes);
+        assertEquals(List.of(), endedWithOpenConnection);
+    }
+
     @Test
     void attemptWaitsForNextFreeExclusiveConnection() {
         FakeConnection[] both = establishTwoBusy();
--- a/http/src/main/java/milletyoke/http/HttpConnection.java
+++ b/http/src/main/java/milletyoke/http/HttpConnection.java
@@ -5,7 +5,6 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -20,7 +19,9 @@
  * down after the last write, and input is discarded), then closed. Each transition happens at most
  * once and cannot be reversed.
  *
- * <p>Any thread may write and close.
+ * <p>Any thread may write and close. The transport closes the socket a little later, on its own
+ * thread; therefore the thread that closes a connection first ends it for the peer, in {@link
+ * #endForPeer}. The handler hears of the close only after that.
  */
 public final class HttpConnection {
     /** Receives the outcome of one write, on any thread. */
@@ -50,8 +51,11 @@
     private final long openedInRound;
 
     private final long earliestOpenMicros;
-    private final AtomicBoolean isClosed = new AtomicBoolean();
-    private final AtomicBoolean isOutputShutDown = new AtomicBoolean();
+
+    /** Written under the connection's lock. */
+    private volatile boolean isClosed;
+
+    private boolean isOutputShutDown;
 
     /** Number of writes that have not yet been handed to the operating system completely. */
     private final AtomicInteger pendingWrites = new AtomicInteger();
@@ -90,7 +94,7 @@
 
     /** Returns whether the connection is not closed; it may be closing gracefully. */
     public boolean isOpen() {
-        return !isClosed.get() && connection.isOpen();
+        return !isClosed && connection.isOpen();
     }
 
     /** Returns whether a write has not yet been handed to the operating system completely. */
@@ -217,9 +221,11 @@
         return isClosing;
     }
 
-    private void shutDownOutput() {
-        if (isOutputShutDown.compareAndSet(false, true)
+    /** Sends the end of the output to the peer. Does not wait for other threads' I/O. */
+    private synchronized void shutDownOutput() {
+        if (!isOutputShutDown
                 && ((NIOConnection) connection).getChannel() instanceof SocketChannel channel) {
+            isOutputShutDown = true;
             ignoreFailure(channel::shutdownOutput);
         }
     }
@@ -241,39 +247,65 @@
         return false;
     }
 
-    /** Closes immediately. Pending writes are lost, and unread input causes a reset. */
+    /**
+     * Closes immediately, on any thread, without waiting for the transport's thread. When this
+     * method returns, the connection has ended for the peer, whichever thread closed it. Pending
+     * writes are lost, and unread input causes a reset.
+     */
     public void close(String reason) {
-        if (isClosed.compareAndSet(false, true)) {
-            connection.terminateSilently();
-            handler.closed(this, reason);
-        }
+        end(reason, false);
     }
 
-    /** Closes immediately with a reset, whether or not input is unread. */
+    /**
+     * Closes immediately with a reset, whether or not input is unread. The peer sees the reset once
+     * the transport's thread has closed the socket.
+     */
     public void reset(String reason) {
         if (((NIOConnection) connection).getChannel() instanceof SocketChannel channel) {
             ignoreFailure(() -> channel.setOption(StandardSocketOptions.SO_LINGER, 0));
         }
+        skipOutputShutdown();
         close(reason);
     }
 
+    /** Leaves the end of the output to the reset, before which the peer must not see one. */
+    private synchronized void skipOutputShutdown() {
+        isOutputShutDown = true;
+    }
+
     /**
      * Closes the connection after the peer closed it.
      *
      * @param byShutdown true if the peer shut down its output, false if it reset the connection
      */
     void closeAfterPeer(String reason, boolean byShutdown) {
-        markClosed(reason, byShutdown);
-        connection.terminateSilently();
+        end(reason, byShutdown);
     }
 
-    void markClosed(String reason, boolean byPeerShutdown) {
-        if (isClosed.compareAndSet(false, true)) {
-            isEndedByPeer = byPeerShutdown;
+    private void end(String reason, boolean byPeerShutdown) {
+        if (endForPeer(byPeerShutdown)) {
+            connection.terminateSilently();
             handler.closed(this, reason);
         }
     }
 
+    /**
+     * Ends the connection for the peer: after this, no byte is handed to the operating system any
+     * more. Holds the lock, so that a thread that closes the connection at the same time does not
+     * return before that.
+     *
+     * @return false if the connection was already closed
+     */
+    private synchronized boolean endForPeer(boolean byPeerShutdown) {
+        if (isClosed) {
+            return false;
+        }
+        isClosed = true;
+        isEndedByPeer = byPeerShutdown;
+        shutDownOutput();
+        return true;
+    }
+
     @Override
     public int hashCode() {
         return id;
--- a/http/src/main/java/milletyoke/http/HttpTransport.java
+++ b/http/src/main/java/milletyoke/http/HttpTransport.java
@@ -54,7 +54,10 @@
          */
         void read(HttpConnection connection, ByteBuffer in);
 
-        /** Called once when the connection is closed, on any thread, after all other methods. */
+        /**
+         * Called once when the connection is closed, on any thread, after all other methods and
+         * after the connection has ended for the peer.
+         */
         void closed(HttpConnection connection, String reason);
     }
 
@@ -291,7 +294,7 @@
                             readRounds);
             HTTP_CONNECTION.set(grizzlyConnection, connection);
             CloseListener<Closeable, CloseType> closeListener =
-                    (closeable, type) -> connection.markClosed("closed (" + type + ")", false);
+                    (closeable, type) -> connection.close("closed (" + type + ")");
             grizzlyConnection.addCloseListener(closeListener);
             connection.handler().opened(connection);
         }
