Own protocol: a connection has ended for its peer before its close is reported

Change: PeerConnection.endForPeer ends the output on the closing thread, under the lock; what is still queued is dropped, as Connection.closeWithReason says.

--- a/simulation/src/main/java/milletyoke/simulation/environment/SimulatedNetwork.java
+++ b/simulation/src/main/java/milletyoke/simulation/environment/SimulatedNetwork.java
@@ -242,6 +242,10 @@
             }
         }
 
+        /** Does nothing: {@link #disconnect} follows at the same moment of virtual time. */
+        @Override
+        protected void endOutput() {}
+
         @Override
         protected void disconnect() {
             closeBothEnds();
--- a/wire/src/main/java/milletyoke/wire/Connection.java
+++ b/wire/src/main/java/milletyoke/wire/Connection.java
@@ -43,6 +43,10 @@
     /** Sends the reason to the peer and closes the connection; unwritten frames may be lost. */
     void closeWithReason(String reason);
 
-    /** Closes the connection immediately and notifies the listener once. */
+    /**
+     * Closes the connection immediately and notifies the listener once. When this method returns,
+     * the connection has ended for the peer: no part of a frame is sent any more. The listener is
+     * notified after that.
+     */
     void close(String reason);
 }
--- a/wire/src/main/java/milletyoke/wire/PeerConnection.java
+++ b/wire/src/main/java/milletyoke/wire/PeerConnection.java
@@ -2,14 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import milletyoke.wire.proto.Close;
 import milletyoke.wire.proto.Direction;
 import milletyoke.wire.proto.Frame;
 import milletyoke.wire.proto.GoingAway;
-import milletyoke.wire.proto.Hello;
 import milletyoke.wire.proto.Role;
 
 /**
@@ -18,12 +16,6 @@
  * thread stay in order; received frames are handled on the I/O thread.
  */
 public abstract class PeerConnection implements Connection {
-    /** The lowest protocol version that this build supports. */
-    static final int LOWEST_VERSION = 1;
-
-    /** The highest protocol version that this build supports. */
-    static final int HIGHEST_VERSION = 2;
-
     /** The first protocol version with the frame that announces a graceful shutdown. */
     private static final int GOING_AWAY_VERSION = 2;
 
@@ -33,7 +25,6 @@
     /** Size of enqueued frames from which they are flushed immediately. */
     private static final int FLUSH_THRESHOLD_BYTES = 256 * 1024;
 
-    private static final int MAX_NAME_LENGTH = 200;
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final int id;
@@ -42,7 +33,9 @@
     private final FrameLimits limits;
     private final FrameObserver observer;
     private final AtomicLong unsentBytes = new AtomicLong();
-    private final AtomicBoolean closed = new AtomicBoolean();
+
+    /** Written under the connection's lock. */
+    private volatile boolean isClosed;
 
     /** Used only by the thread that enqueues and flushes. */
     private List<Frame> queuedFrames = new ArrayList<>();
@@ -97,7 +90,7 @@
 
     @Override
     public boolean isOpen() {
-        return !closed.get() && isConnected();
+        return !isClosed && isConnected();
     }
 
     /**
@@ -201,7 +194,13 @@
      */
     protected abstract void write(List<Frame> frames, int size);
 
-    /** Closes the transport; frames written before may still arrive. */
+    /**
+     * Ends the output, without waiting: when this returns, the peer receives nothing that was not
+     * handed to the operating system before, and then the end of the connection.
+     */
+    protected abstract void endOutput();
+
+    /** Closes the transport after {@link #endOutput}. */
     protected abstract void disconnect();
 
     /** Closes the transport so that the peer sees a reset. */
@@ -260,19 +259,40 @@
 
     @Override
     public void close(String reason) {
-        if (closed.compareAndSet(false, true)) {
+        if (endForPeer()) {
             disconnect();
             observer.onFrame(this, Direction.CLOSED, null);
             listener.onClosed(this, reason);
         }
     }
 
+    /**
+     * Ends the connection for the peer. Holds the lock, so that a thread that closes the connection
+     * at the same time does not return before that.
+     *
+     * @return false if the connection was already closed
+     */
+    private synchronized boolean endForPeer() {
+        if (isClosed) {
+            return false;
+        }
+        isClosed = true;
+        endOutput();
+        return true;
+    }
+
+    private synchronized boolean markClosed() {
+        boolean wasOpen = !isClosed;
+        isClosed = true;
+        return wasOpen;
+    }
+
     /**
      * Closes the connection so that the peer sees a reset, as if this process were killed. The
      * listener is not called.
      */
     public void reset() {
-        if (closed.compareAndSet(false, true)) {
+        if (markClosed()) {
             disconnectWithReset();
             observer.onFrame(this, Direction.CLOSED, null);
         }
@@ -280,22 +300,14 @@
 
     /** Sends the hello of this end, which must be the first frame. */
     protected final void sendHello(Role ownRole, String ownName) {
-        send(
-                Frame.newBuilder()
-                        .setHello(
-                                Hello.newBuilder()
-                                        .setLowestVersion(LOWEST_VERSION)
-                                        .setHighestVersion(HIGHEST_VERSION)
-                                        .setRole(ownRole)
-                                        .setName(ownName))
-                        .build());
+        send(PeerHello.frame(ownRole, ownName));
     }
 
     /** Handles a received frame. To be called by one thread at a time. */
     protected final void handleFrame(Frame frame) {
         lastActivityMicros = clock.getAsLong();
         incompleteSinceMicros = 0;
-        if (closed.get() || isRefused) {
+        if (isClosed || isRefused) {
             return;
         }
         observer.onFrame(this, Direction.GOT, frame);
@@ -325,30 +337,10 @@
     }
 
     private void acceptHello(Frame frame) throws MalformedFrameException {
-        if (frame.getBodyCase() != Frame.BodyCase.HELLO) {
-            throw new MalformedFrameException(
-                    "the first frame must be a hello, not " + frame.getBodyCase());
-        }
-        Hello hello = frame.getHello();
-        if (hello.getHighestVersion() < LOWEST_VERSION
-                || hello.getLowestVersion() > HIGHEST_VERSION) {
-            throw new MalformedFrameException(
-                    "versions "
-                            + hello.getLowestVersion()
-                            + " to "
-                            + hello.getHighestVersion()
-                            + " are offered, "
-                            + LOWEST_VERSION
-                            + " to "
-                            + HIGHEST_VERSION
-                            + " are spoken here");
-        }
-        if (hello.getName().length() > MAX_NAME_LENGTH) {
-            throw new MalformedFrameException("a name of over " + MAX_NAME_LENGTH + " characters");
-        }
-        name = hello.getName();
-        role = hello.getRole();
-        protocolVersion = Math.min(HIGHEST_VERSION, hello.getHighestVersion());
+        PeerHello hello = PeerHello.accept(frame);
+        name = hello.name();
+        role = hello.role();
+        protocolVersion = hello.protocolVersion();
         hasReceivedHello = true;
     }
 
--- a/wire/src/main/java/milletyoke/wire/SocketPeerConnection.java
+++ b/wire/src/main/java/milletyoke/wire/SocketPeerConnection.java
@@ -57,19 +57,32 @@
                 });
     }
 
+    /** Shuts down the output at once; the transport closes the socket later, on its own thread. */
+    @Override
+    protected void endOutput() {
+        try {
+            channel().shutdownOutput();
+        } catch (IOException | RuntimeException alreadyClosed) {
+            // the connection has ended for the peer
+        }
+    }
+
     @Override
     protected void disconnect() {
-        connection.closeSilently();
+        connection.terminateSilently();
     }
 
     @Override
     protected void disconnectWithReset() {
         try {
-            ((SocketChannel) ((NIOConnection) connection).getChannel())
-                    .setOption(StandardSocketOptions.SO_LINGER, 0);
+            channel().setOption(StandardSocketOptions.SO_LINGER, 0);
         } catch (IOException | RuntimeException alreadyClosed) {
             // the connection is closed below in any case
         }
         connection.terminateSilently();
     }
+
+    private SocketChannel channel() {
+        return (SocketChannel) ((NIOConnection) connection).getChannel();
+    }
 }
