Targets: a connection whose reply is not handled yet is not evicted

Callers could see: a complete response counts as a reset. At the limit on connections the event loop evicts an idle one; its close is handled before a reply that is still in the loop's queue, and the attempt ends as RESET.

Cause: idle meant that the response was read, not that the loop had handled it. Change: the dispatcher tells the connection when a reply was handled.

--- a/gateway/src/main/java/milletyoke/gateway/dispatch/AttemptDispatcher.java
+++ b/gateway/src/main/java/milletyoke/gateway/dispatch/AttemptDispatcher.java
@@ -326,6 +326,7 @@
             return null;
         }
         pooled.hasReceivedReply = true;
+        connection.replyHandled();
         return pooled.inFlight.get(frameNumber);
     }
 
--- a/wire/src/main/java/milletyoke/wire/Connection.java
+++ b/wire/src/main/java/milletyoke/wire/Connection.java
@@ -40,6 +40,9 @@
         return false;
     }
 
+    /** Called on the event loop's thread when it has handled a reply received on the connection. */
+    default void replyHandled() {}
+
     /** Sends the reason to the peer and closes the connection; unwritten frames may be lost. */
     void closeWithReason(String reason);
 
