Requests and attempts leave the queues ordered by time when they end

Cause: RequestIndex.byExpiry dropped a removed request only at its head, the request with the earliest deadline that has no response. While that one waited, every later request stayed with its payload, though answered and no longer counted by the admission: rate x deadline x body. AttemptTimeouts kept attempts alike, without payloads.

Change: both are ordered sets of the JDK, from which an element is removed when it ends.

--- a/gateway/src/main/java/milletyoke/gateway/dispatch/AttemptDispatcher.java
+++ b/gateway/src/main/java/milletyoke/gateway/dispatch/AttemptDispatcher.java
@@ -54,7 +54,7 @@
         this.transport = transport;
         this.connector = connector;
         this.counters = counters;
-        outstanding = new OutstandingAttempts(listener, isExclusive());
+        outstanding = new OutstandingAttempts(listener, isExclusive(), timeouts);
         poolSweep =
                 new PoolSweep(
                         transport, counters, pools.values(), this::failWaitingUnlessConnecting);
@@ -177,7 +177,7 @@
             }
             pool.addWaiting(attempt);
         }
-        timeouts.add(attempt);
+        timeouts.put(attempt);
     }
 
     /**
@@ -215,7 +215,7 @@
             }
             pool.removeFirstWaiting();
             if (isSendable) {
-                timeouts.update(attempt);
+                timeouts.put(attempt);
             }
         }
     }
@@ -321,12 +321,12 @@
 
     /** Returns the attempt or probe that a reply belongs to; null if it is no longer in flight. */
     private OutboundAttempt findReplied(Connection connection, long frameNumber) {
+        connection.replyHandled();
         PooledConnection pooled = connections.get(connection);
         if (pooled == null) {
             return null;
         }
         pooled.hasReceivedReply = true;
-        connection.replyHandled();
         return pooled.inFlight.get(frameNumber);
     }
 
--- a/gateway/src/main/java/milletyoke/gateway/dispatch/OutboundAttempt.java
+++ b/gateway/src/main/java/milletyoke/gateway/dispatch/OutboundAttempt.java
@@ -31,6 +31,9 @@
 
     boolean isEnded;
 
+    /** The due time by which it is queued; changed by {@link AttemptTimeouts} alone. */
+    long queuedDueMicros;
+
     /** When the reply was received; 0 if there is none. */
     long repliedAtMicros;
 
--- a/gateway/src/main/java/milletyoke/gateway/dispatch/OutstandingAttempts.java
+++ b/gateway/src/main/java/milletyoke/gateway/dispatch/OutstandingAttempts.java
@@ -17,15 +17,18 @@
 
     private final AttemptListener listener;
     private final boolean isExclusive;
+    private final AttemptTimeouts timeouts;
     private final Map<String, OutboundAttempt> attemptsByKey = new HashMap<>();
 
     /**
      * Creates an empty collection.
      *
      * @param isExclusive whether a connection carries only one attempt at a time
+     * @param timeouts the queue from which attempts and probes are removed when they end
      */
-    OutstandingAttempts(AttemptListener listener, boolean isExclusive) {
+    OutstandingAttempts(AttemptListener listener, boolean isExclusive, AttemptTimeouts timeouts) {
         this.listener = listener;
+        this.timeouts = timeouts;
         this.isExclusive = isExclusive;
     }
 
@@ -84,6 +87,7 @@
             return;
         }
         attempt.markEnded();
+        timeouts.remove(attempt);
         if (attempt.isSent()) {
             attempt.connection.inFlight.remove(attempt.frameNumber);
             closeIfAbandoned(attempt, outcome);
--- a/gateway/src/main/java/milletyoke/gateway/loop/RequestIndex.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/RequestIndex.java
@@ -4,17 +4,23 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
+import java.util.NavigableSet;
+import java.util.TreeSet;
 import milletyoke.wire.Connection;
 
-/** Indexes the tracked requests by id, by client and by expiry. Owned by the event loop. */
+/**
+ * Indexes the tracked requests by id, by client and by expiry. A request that was removed is not
+ * reachable from here any more, so that its payload takes no memory. Owned by the event loop.
+ */
 final class RequestIndex {
     private final Map<String, TrackedRequest> byId = new LinkedHashMap<>();
     private final Map<Connection, Map<Long, TrackedRequest>> byClient = new LinkedHashMap<>();
 
-    /** May contain requests that were removed; these are dropped when they reach the head. */
-    private final PriorityQueue<TrackedRequest> byExpiry =
-            new PriorityQueue<>(Comparator.comparingLong(tracked -> tracked.expiresAtMicros));
+    /** Requests that were not polled, ordered by expiry and then by id. */
+    private final NavigableSet<TrackedRequest> byExpiry =
+            new TreeSet<>(
+                    Comparator.<TrackedRequest>comparingLong(tracked -> tracked.expiresAtMicros)
+                            .thenComparing(tracked -> tracked.id));
 
     void add(TrackedRequest tracked) {
         byId.put(tracked.id, tracked);
@@ -28,6 +34,7 @@
         if (byId.remove(tracked.id) == null) {
             return false;
         }
+        byExpiry.remove(tracked);
         Map<Long, TrackedRequest> clientRequests = byClient.get(tracked.client);
         clientRequests.remove(tracked.request.getNumber());
         if (clientRequests.isEmpty()) {
@@ -66,9 +73,12 @@
      * null otherwise.
      */
     TrackedRequest pollResolvedOrExpired(long nowMicros) {
-        TrackedRequest head = byExpiry.peek();
-        boolean canPoll = head != null && (head.isResolved || head.expiresAtMicros < nowMicros);
-        return canPoll ? byExpiry.poll() : null;
+        if (byExpiry.isEmpty()) {
+            return null;
+        }
+        TrackedRequest head = byExpiry.first();
+        boolean canPoll = head.isResolved || head.expiresAtMicros < nowMicros;
+        return canPoll ? byExpiry.pollFirst() : null;
     }
 
     int size() {
--- a/http/src/main/java/milletyoke/http/BodyBuffer.java
+++ b/http/src/main/java/milletyoke/http/BodyBuffer.java
@@ -10,12 +10,6 @@
 final class BodyBuffer {
     private static final byte[] EMPTY = {};
 
-    /**
-     * The number of bytes of each body that do not count against the shared budget: large enough
-     * for most bodies, and small enough that the memory of all connections together is acceptable.
-     */
-    private static final int UNBUDGETED_BYTES = 2 * 1024;
-
     /** Null if only the limit on each single body applies. */
     private final SharedByteBudget budget;
 
@@ -73,7 +67,7 @@
     }
 
     private boolean tryAcquire(int capacity) {
-        int missing = Math.max(0, capacity - UNBUDGETED_BYTES) - acquiredBytes;
+        int missing = SharedByteBudget.countedBytes(capacity) - acquiredBytes;
         if (missing <= 0) {
             return true;
         }
--- a/http/src/main/java/milletyoke/http/SharedByteBudget.java
+++ b/http/src/main/java/milletyoke/http/SharedByteBudget.java
@@ -7,6 +7,12 @@
  * part of them. Thread-safe.
  */
 public final class SharedByteBudget {
+    /**
+     * The number of bytes of each body that are not counted: large enough for most bodies, and
+     * small enough that the memory of all connections together is acceptable.
+     */
+    private static final int UNCOUNTED_BODY_BYTES = 2 * 1024;
+
     private final long capacityBytes;
     private final AtomicLong acquiredBytes = new AtomicLong();
 
@@ -19,6 +25,11 @@
         this.capacityBytes = capacityBytes;
     }
 
+    /** Returns how many bytes of a body count against a budget: those beyond its first 2 KiB. */
+    public static int countedBytes(int bodyBytes) {
+        return Math.max(0, bodyBytes - UNCOUNTED_BODY_BYTES);
+    }
+
     /** Acquires the bytes; returns false, and acquires none, if fewer are available. */
     public boolean tryAcquire(long bytes) {
         if (acquiredBytes.addAndGet(bytes) > capacityBytes) {
