--- a/gateway/src/test/java/milletyoke/gateway/dispatch/AttemptTimeoutsTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/dispatch/AttemptTimeoutsTest.java
@@ -1,6 +1,7 @@
 package milletyoke.gateway.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.lang.ref.WeakReference;
@@ -15,6 +16,9 @@
 class AttemptTimeoutsTest {
     private static final long NO_TIMEOUT = Long.MAX_VALUE;
 
+    /** Far more than the collector needs to find what is unreachable. */
+    private static final int MAX_COLLECTIONS = 20;
+
     private final AttemptTimeouts timeouts = new AttemptTimeouts();
 
     private static OutboundAttempt attempt(long frameNumber, long connectDeadlineMicros) {
@@ -37,13 +41,17 @@
         for (int number = 2; number < 100; number++) {
             removed.add(new WeakReference<>(putAndRemove(number)));
         }
-        while (removed.stream().anyMatch(reference -> reference.get() != null)) {
+        for (int i = 0; i < MAX_COLLECTIONS && isAnyReachable(removed); i++) {
             System.gc();
-            Thread.onSpinWait();
         }
+        assertFalse(isAnyReachable(removed));
         assertEquals(10, timeouts.nextDueMicros());
     }
 
+    private static boolean isAnyReachable(List<WeakReference<OutboundAttempt>> references) {
+        return references.stream().anyMatch(reference -> reference.get() != null);
+    }
+
     private OutboundAttempt putAndRemove(long frameNumber) {
         OutboundAttempt attempt = attempt(frameNumber, 10 + frameNumber);
         timeouts.put(attempt);
--- a/gateway/src/test/java/milletyoke/gateway/loop/RequestIndexTest.java
+++ b/gateway/src/test/java/milletyoke/gateway/loop/RequestIndexTest.java
@@ -20,6 +20,9 @@
 class RequestIndexTest {
     private static final int PAYLOAD_BYTES = 60_000;
 
+    /** Far more than the collector needs to find what is unreachable. */
+    private static final int MAX_COLLECTIONS = 20;
+
     private final RequestIndex index = new RequestIndex();
     private final Connection client = new SilentClient();
 
@@ -64,20 +67,24 @@
      * to its deadline: at a high rate they filled the heap.
      */
     @Test
-    void aRemovedRequestIsNotReachableWhileAnEarlierOneWaits() throws Exception {
+    void aRemovedRequestIsNotReachableWhileAnEarlierOneWaits() {
         TrackedRequest waiting = add(1, 10);
         List<WeakReference<TrackedRequest>> removed = new ArrayList<>();
         for (int number = 2; number < 100; number++) {
             removed.add(new WeakReference<>(addAndRemove(number)));
         }
-        while (removed.stream().anyMatch(reference -> reference.get() != null)) {
+        for (int i = 0; i < MAX_COLLECTIONS && isAnyReachable(removed); i++) {
             System.gc();
-            Thread.onSpinWait();
         }
+        assertFalse(isAnyReachable(removed));
         assertEquals(waiting, index.find("1-1"));
         assertEquals(1, index.size());
     }
 
+    private static boolean isAnyReachable(List<WeakReference<TrackedRequest>> references) {
+        return references.stream().anyMatch(reference -> reference.get() != null);
+    }
+
     private TrackedRequest addAndRemove(long number) {
         TrackedRequest tracked = add(number, 10 + number);
         tracked.isResolved = true;
