Tests: the served process of the restart soak is a class of its own

RestartSoak started, configured and observed the process besides playing its signals, and the next test needs the same process. ServeProcess has that part now; no step or check changed.

--- a/cli/src/test/java/milletyoke/cli/RestartSoak.java
+++ b/cli/src/test/java/milletyoke/cli/RestartSoak.java
@@ -3,17 +3,10 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-import java.util.stream.Stream;
-import milletyoke.standins.http.ScriptedHttpServer;
 
 /**
  * Runs {@code serve} as a process under load through one restart: SIGTERM, the signals of a plan,
@@ -25,11 +18,7 @@
     /** How long before SIGTERM targets stop responding. */
     private static final long HANG_LEAD_MILLIS = 200;
 
-    private static final long READY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
     private static final long CONNECTION_END_MILLIS = RestartClient.PROBE_DELAY_MILLIS + 100;
-    private static final String FIRST_THREAD = "n1-io";
-    private static final Pattern LISTENING =
-            Pattern.compile("accepts requests at 127.0.0.1:(\\d+)");
 
     /**
      * What one restart showed.
@@ -74,7 +63,6 @@
 
     private final RestartPlan plan;
     private final Path folder;
-    private final ChildProcesses processes = new ChildProcesses();
     private final List<RestartJudge.Hold> holds = new ArrayList<>();
     private final List<Socket> idleClients = new ArrayList<>();
     private int reloadCount;
@@ -95,37 +83,34 @@
     }
 
     private Result run() throws Exception {
-        try (RestartTargets targets = new RestartTargets();
-                ScriptedHttpServer discovery = startDiscovery(targets);
+        try (ServeProcess served = new ServeProcess(folder, plan.longestDeadlineMillis());
                 SignalSender signals = new SignalSender()) {
-            Process process = start(discovery, targets);
             if (plan.isReloadedWhileStarting()) {
-                awaitSignalHandlers(process);
-                signals.send("HUP", process);
+                served.awaitSignalHandlers();
+                signals.send("HUP", served.process());
             }
-            int port = Integer.parseInt(awaitLog(process, LISTENING).group(1));
-            awaitReady(port);
+            int port = served.awaitPort();
+            served.awaitReady();
             connectIdleClients(port);
             try (RestartClients clients = new RestartClients(port, plan)) {
                 Thread.sleep(WARM_UP_MILLIS);
-                targets.hang(plan.hangingTargetCount());
+                served.targets().hang(plan.hangingTargetCount());
                 Thread.sleep(HANG_LEAD_MILLIS);
-                RestartJudge.ProcessEnd end = playSignals(process, signals, discovery, targets);
+                RestartJudge.ProcessEnd end = playSignals(served, signals);
                 Thread.sleep(CONNECTION_END_MILLIS);
-                return judge(clients.stop(), end, targets);
+                return judge(clients.stop(), end, served);
             }
         } finally {
             for (Socket idle : idleClients) {
                 idle.close();
             }
-            processes.stopAll();
         }
     }
 
     private Result judge(
-            List<RestartRequest> requests, RestartJudge.ProcessEnd end, RestartTargets targets)
+            List<RestartRequest> requests, RestartJudge.ProcessEnd end, ServeProcess served)
             throws IOException {
-        RestartJudge judge = new RestartJudge(end, targets);
+        RestartJudge judge = new RestartJudge(end, served.targets());
         List<RestartJudge.Violation> violations = judge.findViolations(requests);
         List<RestartRequest> late = requests.stream().filter(judge::isLate).toList();
         return new Result(
@@ -136,17 +121,14 @@
                 late.stream().filter(judge::isForwarded).count(),
                 late.stream().filter(request -> request.status == 200).count(),
                 end.hasEndedByItself(),
-                log());
+                served.log());
     }
 
     // ---- Signals ----
 
-    private RestartJudge.ProcessEnd playSignals(
-            Process process,
-            SignalSender signals,
-            ScriptedHttpServer discovery,
-            RestartTargets targets)
+    private RestartJudge.ProcessEnd playSignals(ServeProcess served, SignalSender signals)
             throws Exception {
+        Process process = served.process();
         long leadMillis = 500;
         long terminateAtNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(leadMillis);
         long terminatedAtNanos = 0;
@@ -155,7 +137,7 @@
                 terminatedAtNanos = terminate(process, terminateAtNanos);
             }
             sleepUntil(terminateAtNanos + TimeUnit.MILLISECONDS.toNanos(signal.atMillis()));
-            send(signal.signal(), process, signals, discovery, targets);
+            send(signal.signal(), served, signals);
         }
         if (terminatedAtNanos == 0) {
             terminatedAtNanos = terminate(process, terminateAtNanos);
@@ -174,21 +156,15 @@
         return System.nanoTime();
     }
 
-    private void send(
-            String signal,
-            Process process,
-            SignalSender signals,
-            ScriptedHttpServer discovery,
-            RestartTargets targets)
-            throws IOException {
+    private void send(String signal, ServeProcess served, SignalSender signals) throws IOException {
         if (signal.equals("HUP")) {
             reloadCount++;
-            writeConfig(discovery, targets);
+            served.writeConfig(1 + reloadCount % 2);
         }
         if (signal.equals("STOP")) {
             holdStartNanos = System.nanoTime();
         }
-        signals.send(signal, process);
+        signals.send(signal, served.process());
         if (signal.equals("CONT")) {
             holds.add(new RestartJudge.Hold(holdStartNanos, System.nanoTime()));
         }
@@ -202,116 +178,6 @@
         }
     }
 
-    // ---- The process and its surroundings ----
-
-    private Process start(ScriptedHttpServer discovery, RestartTargets targets) throws IOException {
-        ProcessBuilder command = new ProcessBuilder(ChildProcesses.commandLine("serve"));
-        command.command().addAll(1, List.of("-Xmx64m", "-XX:TieredStopAtLevel=1"));
-        command.environment().put("LB_CONFIG", writeConfig(discovery, targets).toString());
-        command.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
-        return processes.start(command);
-    }
-
-    private Path writeConfig(ScriptedHttpServer discovery, RestartTargets targets)
-            throws IOException {
-        String config =
-                """
-                {"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
-                 "limits":{"cores":1.0,"memory_mb":192,"sockets":512},
-                 "known":%s,
-                 "settings":{"balancers":1,
-                   "classes":[
-                     {"name":"read","effect":"pure","aim":100000,"deadline":%d,"points":1},
-                     {"name":"mark","effect":"token","dedupScope":"all","repeatWindow":1000000,"aim":100000,
-                      "deadline":100000,"points":1},
-                     {"name":"order","effect":"side_effect","aim":100000,"deadline":100000,"points":1}],
-                   "policies":[{"name":"p","weight":%d}],
-                   "rules":{"answerSlack":8000,"drainGrace":500000},
-                   "limits":{"maxAttempts":3,"mayCancel":true,"retryAfter":true,"maxRetryAfter":500000,
-                     "connectTimeout":250000}}}
-                """
-                        .formatted(
-                                discovery.port(),
-                                targets.endpointList(),
-                                TimeUnit.MILLISECONDS.toMicros(plan.longestDeadlineMillis()),
-                                1 + reloadCount % 2);
-        return Files.writeString(folder.resolve("config.json"), config);
-    }
-
-    /** Starts a discovery that sends the whole list and no response to a watch. */
-    private static ScriptedHttpServer startDiscovery(RestartTargets targets) throws IOException {
-        byte[] body = targets.endpointList().getBytes(StandardCharsets.US_ASCII);
-        return new ScriptedHttpServer(
-                "discovery",
-                (connection, request) -> {
-                    if (!request.target().contains("from")) {
-                        ScriptedHttpServer.answer(connection, 200, body);
-                    }
-                });
-    }
-
-    private String log() throws IOException {
-        return Files.readString(folder.resolve("log"));
-    }
-
-    private Matcher awaitLog(Process process, Pattern pattern) throws Exception {
-        long untilNanos = System.nanoTime() + READY_TIMEOUT_NANOS;
-        Matcher found = pattern.matcher(log());
-        while (!found.find()) {
-            if (!process.isAlive() || System.nanoTime() > untilNanos) {
-                throw new TimeoutException("no line matches " + pattern + ": " + log());
-            }
-            Thread.sleep(5);
-            found = pattern.matcher(log());
-        }
-        return found;
-    }
-
-    /** Waits for a thread that starts after the signal handlers and before the process listens. */
-    private static void awaitSignalHandlers(Process process) throws Exception {
-        Path threads = Path.of("/proc", Long.toString(process.pid()), "task");
-        long untilNanos = System.nanoTime() + READY_TIMEOUT_NANOS;
-        while (!hasThread(threads, FIRST_THREAD)) {
-            if (!process.isAlive() || System.nanoTime() > untilNanos) {
-                throw new TimeoutException("the process has no thread " + FIRST_THREAD);
-            }
-            Thread.sleep(1);
-        }
-    }
-
-    private static boolean hasThread(Path threads, String namePrefix) throws IOException {
-        try (Stream<Path> all = Files.list(threads)) {
-            return all.anyMatch(thread -> name(thread).startsWith(namePrefix));
-        }
-    }
-
-    private static String name(Path thread) {
-        try {
-            return Files.readString(thread.resolve("comm"));
-        } catch (IOException ended) {
-            return "";
-        }
-    }
-
-    private static void awaitReady(int port) throws Exception {
-        long untilNanos = System.nanoTime() + READY_TIMEOUT_NANOS;
-        while (!isReady(port)) {
-            if (System.nanoTime() > untilNanos) {
-                throw new TimeoutException("the process is not ready");
-            }
-            Thread.sleep(10);
-        }
-    }
-
-    private static boolean isReady(int port) throws IOException {
-        String request = "GET /health/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            byte[] statusLine = socket.getInputStream().readNBytes(12);
-            return new String(statusLine, StandardCharsets.US_ASCII).endsWith("200");
-        }
-    }
-
     private void connectIdleClients(int port) throws IOException {
         for (int count = 0; count < plan.idleClientCount(); count++) {
             idleClients.add(new Socket(InetAddress.getLoopbackAddress(), port));
