--- a/gateway/src/main/java/milletyoke/gateway/loop/Counter.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/Counter.java
@@ -67,6 +67,12 @@
     /** Client connections on which no whole request was received in time. */
     CLIENTS_TIMED_OUT,
 
+    /** Client connections that this process ended with a reset. */
+    CLIENTS_RESET,
+
+    /** Client connections on which input behind the last response was read and dropped. */
+    CLIENTS_INPUT_DROPPED,
+
     /** Pipelined requests that were rejected because there was no memory to keep them. */
     PIPELINE_OVERFLOWS,
 
--- a/http/src/main/java/milletyoke/http/HttpConnection.java
+++ b/http/src/main/java/milletyoke/http/HttpConnection.java
@@ -64,8 +64,11 @@
     private volatile boolean isEndedByPeer;
     private volatile boolean isClosedByPeer;
 
-    /** Bytes discarded while closing gracefully; used on the transport's thread only. */
-    private int drainedBytes;
+    /** Bytes discarded while closing gracefully; written on the transport's thread only. */
+    private volatile int drainedBytes;
+
+    /** Set under the connection's lock when it is closed. */
+    private volatile ConnectionEnding ending;
 
     @SuppressWarnings("unchecked") // a TCP connection's addresses are socket addresses
     HttpConnection(
@@ -118,6 +121,11 @@
         return isClosedByPeer;
     }
 
+    /** Returns how the connection ended; null while it is not closed. */
+    public ConnectionEnding ending() {
+        return ending;
+    }
+
     /**
      * Returns how long the bytes that are being delivered to the handler may have waited unread, in
      * microseconds. Called on the transport's thread.
@@ -253,7 +261,11 @@
      * writes are lost, and unread input causes a reset.
      */
     public void close(String reason) {
-        end(reason, false);
+        end(
+                reason,
+                isClosedByPeer
+                        ? ConnectionEnding.Signal.RESET_BY_PEER
+                        : ConnectionEnding.Signal.END_OF_OUTPUT);
     }
 
     /**
@@ -265,7 +277,7 @@
             ignoreFailure(() -> channel.setOption(StandardSocketOptions.SO_LINGER, 0));
         }
         skipOutputShutdown();
-        close(reason);
+        end(reason, ConnectionEnding.Signal.RESET);
     }
 
     /** Leaves the end of the output to the reset, before which the peer must not see one. */
@@ -279,11 +291,15 @@
      * @param byShutdown true if the peer shut down its output, false if it reset the connection
      */
     void closeAfterPeer(String reason, boolean byShutdown) {
-        end(reason, byShutdown);
+        end(
+                reason,
+                byShutdown
+                        ? ConnectionEnding.Signal.ENDED_BY_PEER
+                        : ConnectionEnding.Signal.RESET_BY_PEER);
     }
 
-    private void end(String reason, boolean byPeerShutdown) {
-        if (endForPeer(byPeerShutdown)) {
+    private void end(String reason, ConnectionEnding.Signal signal) {
+        if (endForPeer(reason, signal)) {
             connection.terminateSilently();
             handler.closed(this, reason);
         }
@@ -296,16 +312,35 @@
      *
      * @return false if the connection was already closed
      */
-    private synchronized boolean endForPeer(boolean byPeerShutdown) {
+    private synchronized boolean endForPeer(String reason, ConnectionEnding.Signal signal) {
         if (isClosed) {
             return false;
         }
         isClosed = true;
-        isEndedByPeer = byPeerShutdown;
+        isEndedByPeer = signal == ConnectionEnding.Signal.ENDED_BY_PEER;
+        ending =
+                new ConnectionEnding(
+                        reason,
+                        signal,
+                        Thread.currentThread().getName(),
+                        unreadBytes(),
+                        drainedBytes,
+                        pendingWrites.get());
         shutDownOutput();
         return true;
     }
 
+    private int unreadBytes() {
+        if (((NIOConnection) connection).getChannel() instanceof SocketChannel channel) {
+            try {
+                return channel.socket().getInputStream().available();
+            } catch (IOException | RuntimeException closed) {
+                return ConnectionEnding.UNKNOWN;
+            }
+        }
+        return ConnectionEnding.UNKNOWN;
+    }
+
     @Override
     public int hashCode() {
         return id;
--- a/http/src/main/java/milletyoke/http/HttpTransport.java
+++ b/http/src/main/java/milletyoke/http/HttpTransport.java
@@ -322,6 +322,14 @@
         }
     }
 
+    /**
+     * Returns the longest time from one selection of ready connections to the next since the start,
+     * in microseconds. It exceeds 50 ms if the thread did not run in time or read for longer.
+     */
+    public long longestRoundMicros() {
+        return readRounds.longestRoundMicros();
+    }
+
     /** Closes all connections and stops the thread. */
     @Override
     public void close() {
--- a/http/src/main/java/milletyoke/http/ReadRounds.java
+++ b/http/src/main/java/milletyoke/http/ReadRounds.java
@@ -23,7 +23,8 @@
  * idle, since an idle thread is woken at once as a rule. A round begins more often than that, so a
  * longer wait shows that the thread did not run in time.
  *
- * <p>Used on the transport's thread, except for {@link #addListener}.
+ * <p>Used on the transport's thread, except for {@link #addListener} and {@link
+ * #longestRoundMicros}.
  */
 final class ReadRounds extends DefaultSelectorHandler {
     /** How long bytes may have waited although none is reported. */
@@ -48,6 +49,9 @@
 
     private long roundNumber;
 
+    /** Written on the transport's thread only. */
+    private volatile long longestRoundMicros;
+
     /**
      * Creates the handler of a transport that begins to run now.
      *
@@ -78,6 +82,7 @@
         if (watchesAcceptQueues && !hasAcceptable(ready)) {
             acceptQueueEmptyMicros = selectBeganMicros;
         }
+        longestRoundMicros = Math.max(longestRoundMicros, nowMicros - roundBeganMicros);
         roundBeganMicros = nowMicros;
         roundNumber++;
         return ready;
@@ -111,6 +116,11 @@
         return roundNumber;
     }
 
+    /** Returns the longest time from one round to the next. May be called on any thread. */
+    long longestRoundMicros() {
+        return longestRoundMicros;
+    }
+
     /** Returns the earliest arrival of bytes that are read in this round. */
     long earliestArrivalMicros() {
         return earliestArrivalMicros;
