Client connections end on the thread that reads them, after a last read, with a reset

Callers saw a clean end of their connection and no response to a request that the process had not read, and could not tell. Cause: connections were ended on the ground of what had been read, by threads that do not know what has arrived since (main, timer, another connection's accept), and a channel that is registered with a selector sends the end of its output before it is closed, so that unread input was reset too late for the client to see. Now HttpConnection.endBetweenMessages is the one place: on the transport's thread it reads what has arrived, delivers it (it is answered, 503 with Connection: close in a shutdown), and resets only what is idle after that, so an end without a response means unread. It holds back where a reset could destroy a response on its way (OutputDelivery). The closing of a shutdown, evictions, the timeouts of requests and the connection over the limit use it; half a request gets 503 at the closing. The shutdown waits for the transport's thread, however long that is held, reads nothing after its last pass, and leaves what is open to the exit, where the system delivers what was written and resets what is unread. SocketReader and ConnectionExpiry are split off; runBetweenReads is gone.

--- a/http/src/main/java/milletyoke/http/HttpConnection.java
+++ b/http/src/main/java/milletyoke/http/HttpConnection.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -46,22 +47,20 @@
     private final Connection<SocketAddress> connection;
     private final HttpTransport.Handler handler;
     private final ReadRounds readRounds;
+    private final SocketReader reader;
 
     /** The round in which the connection was opened, and when that may have been possible. */
     private final long openedInRound;
 
     private final long earliestOpenMicros;
 
-    /** Written under the connection's lock. */
-    private volatile boolean isClosed;
-
     private boolean isOutputShutDown;
 
     /** Number of writes that have not yet been handed to the operating system completely. */
     private final AtomicInteger pendingWrites = new AtomicInteger();
 
+    private final OutputDelivery delivery = new OutputDelivery();
     private volatile boolean isClosing;
-    private volatile boolean isEndedByPeer;
     private volatile boolean isClosedByPeer;
 
     /** Bytes discarded while closing gracefully; written on the transport's thread only. */
@@ -75,9 +74,11 @@
             int id,
             Connection<?> connection,
             HttpTransport.Handler handler,
-            ReadRounds readRounds) {
+            ReadRounds readRounds,
+            SocketReader reader) {
         this.id = id;
         this.readRounds = readRounds;
+        this.reader = reader;
         openedInRound = readRounds.roundNumber();
         earliestOpenMicros = readRounds.earliestQueuedArrivalMicros();
         this.connection = (Connection<SocketAddress>) connection;
@@ -97,7 +98,7 @@
 
     /** Returns whether the connection is not closed; it may be closing gracefully. */
     public boolean isOpen() {
-        return !isClosed && connection.isOpen();
+        return ending == null && connection.isOpen();
     }
 
     /** Returns whether a write has not yet been handed to the operating system completely. */
@@ -105,12 +106,17 @@
         return pendingWrites.get() > 0;
     }
 
+    /** Returns whether all that was written has reached the peer, so that no reset destroys it. */
+    public boolean isOutputDelivered() {
+        return !isWriting() && !delivery.mayBeIncomplete(readRounds.nowMicros());
+    }
+
     /**
      * Returns whether the connection was closed because the peer shut down its output, not by a
      * reset.
      */
     public boolean isEndedByPeer() {
-        return isEndedByPeer;
+        return ending != null && ending.signal() == ConnectionEnding.Signal.ENDED_BY_PEER;
     }
 
     /**
@@ -160,6 +166,7 @@
 
     private void write(Buffer bytes, WriteListener listener) {
         pendingWrites.incrementAndGet();
+        delivery.writing(bytes.remaining(), readRounds.nowMicros());
         connection.write(bytes, new WriteCompletion(listener));
     }
 
@@ -231,8 +238,8 @@
 
     /** Sends the end of the output to the peer. Does not wait for other threads' I/O. */
     private synchronized void shutDownOutput() {
-        if (!isOutputShutDown
-                && ((NIOConnection) connection).getChannel() instanceof SocketChannel channel) {
+        SocketChannel channel = channel();
+        if (!isOutputShutDown && channel != null) {
             isOutputShutDown = true;
             ignoreFailure(channel::shutdownOutput);
         }
@@ -245,11 +252,13 @@
      * @return whether the bytes are to be delivered to the handler
      */
     boolean onBytesReceived(int bytes) {
+        delivery.confirmed();
         if (!isClosing) {
             return isOpen();
         }
-        drainedBytes += bytes;
-        if (drainedBytes > MAX_DRAINED_BYTES) {
+        int total = drainedBytes + bytes;
+        drainedBytes = total;
+        if (total > MAX_DRAINED_BYTES) {
             close("peer sent more than " + MAX_DRAINED_BYTES + " bytes after a graceful close");
         }
         return false;
@@ -258,7 +267,8 @@
     /**
      * Closes immediately, on any thread, without waiting for the transport's thread. When this
      * method returns, the connection has ended for the peer, whichever thread closed it. Pending
-     * writes are lost, and unread input causes a reset.
+     * writes are lost. The peer sees the end of the output, and a reset after it if input is
+     * unread; it cannot tell whether its last bytes were read. See {@link #endBetweenMessages}.
      */
     public void close(String reason) {
         end(
@@ -268,12 +278,46 @@
                         : ConnectionEnding.Signal.END_OF_OUTPUT);
     }
 
+    /**
+     * Ends the connection between two messages, so that its peer can tell what was not read. What
+     * has arrived is read and delivered to the handler first. Then, if the handler agrees, the
+     * connection is reset: a message that arrives after the last read finds a reset and no end of
+     * output, which could be mistaken for the end of a connection on which the message was read.
+     *
+     * <p>Has no effect while a reset could destroy bytes on their way to the peer. Must be called
+     * on the transport's thread, but not by a handler's {@code read}.
+     *
+     * @param canEnd asked after the last read; the handler must not begin a message after it agreed
+     * @return whether the connection was ended; false also if the peer has ended it
+     */
+    public boolean endBetweenMessages(String reason, BooleanSupplier canEnd) {
+        readAvailable();
+        boolean mayDestroyOutput = isWriting() || delivery.mayBeIncomplete(readRounds.nowMicros());
+        if (!isOpen() || isClosing || mayDestroyOutput || !canEnd.getAsBoolean()) {
+            return false;
+        }
+        reset(reason);
+        return true;
+    }
+
+    /**
+     * Reads what has arrived and delivers it to the handler. Must be called on the transport's
+     * thread, but not by a handler's {@code read}.
+     */
+    public void readAvailable() {
+        SocketChannel channel = channel();
+        if (channel != null) {
+            reader.readAll(this, channel);
+        }
+    }
+
     /**
      * Closes immediately with a reset, whether or not input is unread. The peer sees the reset once
      * the transport's thread has closed the socket.
      */
     public void reset(String reason) {
-        if (((NIOConnection) connection).getChannel() instanceof SocketChannel channel) {
+        SocketChannel channel = channel();
+        if (channel != null) {
             ignoreFailure(() -> channel.setOption(StandardSocketOptions.SO_LINGER, 0));
         }
         skipOutputShutdown();
@@ -313,11 +357,9 @@
      * @return false if the connection was already closed
      */
     private synchronized boolean endForPeer(String reason, ConnectionEnding.Signal signal) {
-        if (isClosed) {
+        if (ending != null) {
             return false;
         }
-        isClosed = true;
-        isEndedByPeer = signal == ConnectionEnding.Signal.ENDED_BY_PEER;
         ending =
                 new ConnectionEnding(
                         reason,
@@ -330,15 +372,20 @@
         return true;
     }
 
+    /** Returns the channel; null if the transport has already released it. */
+    private SocketChannel channel() {
+        return ((NIOConnection) connection).getChannel() instanceof SocketChannel channel
+                ? channel
+                : null;
+    }
+
     private int unreadBytes() {
-        if (((NIOConnection) connection).getChannel() instanceof SocketChannel channel) {
-            try {
-                return channel.socket().getInputStream().available();
-            } catch (IOException | RuntimeException closed) {
-                return ConnectionEnding.UNKNOWN;
-            }
+        SocketChannel channel = channel();
+        try {
+            return channel.socket().getInputStream().available();
+        } catch (IOException | RuntimeException closed) {
+            return ConnectionEnding.UNKNOWN;
         }
-        return ConnectionEnding.UNKNOWN;
     }
 
     @Override
--- a/http/src/main/java/milletyoke/http/HttpTransport.java
+++ b/http/src/main/java/milletyoke/http/HttpTransport.java
@@ -4,9 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -25,6 +25,7 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.SelectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -35,7 +36,6 @@
 
 /** Accepts, opens and reads TCP connections on a single dedicated thread. */
 public final class HttpTransport implements AutoCloseable {
-    private static final int READ_BUFFER_BYTES = 16 * 1024;
     private static final int BACKLOG = 1024;
     private static final Attribute<HttpConnection> HTTP_CONNECTION =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("milletyoke.http");
@@ -87,11 +87,7 @@
 
     private final ReadRounds readRounds;
 
-    /** Held while a connection is read and its handler is called. */
-    private final ReentrantLock readLock = new ReentrantLock();
-
-    /** Shared by all connections, since a single thread reads them. */
-    private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
+    private final SocketReader reader = new SocketReader();
 
     /** Starts a transport with the clock of this machine. */
     public HttpTransport(String name) throws IOException {
@@ -119,7 +115,7 @@
                         .setTcpNoDelay(true)
                         .setReuseAddress(true)
                         .setServerConnectionBackLog(BACKLOG)
-                        .setReadBufferSize(READ_BUFFER_BYTES);
+                        .setReadBufferSize(SocketReader.BUFFER_BYTES);
         builder.setSelectorRunnersCount(1);
         transport = builder.build();
         transport.setSelectorHandler(readRounds);
@@ -208,61 +204,22 @@
                 .build();
     }
 
-    /**
-     * Replaces Grizzly's own read filter, which does not distinguish the end of input from a reset.
-     * The distinction matters for a response that is delimited by the end of input: after a reset,
-     * the response is incomplete.
-     *
-     * <p>Reads until the socket has no more input or the buffer is full. The end of input is thus
-     * detected before the preceding request is processed, whose client no longer waits for the
-     * response.
-     */
+    /** Replaces Grizzly's own read filter by the {@link SocketReader}. */
     private final class ReadFilter extends TransportFilter {
         @Override
         public NextAction handleRead(FilterChainContext context) {
             HttpConnection connection = HTTP_CONNECTION.get(context.getConnection());
-            if (connection != null
+            if (reader.isStopped()) {
+                // Otherwise the socket would stay ready, and the thread would never wait.
+                HttpConnection.ignoreFailure(
+                        () -> context.getConnection().disableIOEvent(IOEvent.READ));
+            } else if (connection != null
                     && ((NIOConnection) context.getConnection()).getChannel()
                             instanceof SocketChannel channel) {
-                runBetweenReads(() -> read(connection, channel));
+                reader.read(connection, channel);
             }
             return context.getStopAction();
         }
-
-        /** Reads nothing from a closed connection, whose channel may close a little later. */
-        private void read(HttpConnection connection, SocketChannel channel) {
-            if (!connection.isOpen()) {
-                return;
-            }
-            readBuffer.clear();
-            String closeReason = null;
-            boolean isEndOfInput = false;
-            try {
-                isEndOfInput = fillReadBuffer(channel);
-                closeReason = isEndOfInput ? "closed by the peer" : null;
-            } catch (IOException reset) {
-                closeReason = "reset: " + reset.getMessage();
-            }
-            if (closeReason != null) {
-                connection.markClosedByPeer();
-            }
-            readBuffer.flip();
-            if (readBuffer.hasRemaining() && connection.onBytesReceived(readBuffer.remaining())) {
-                connection.handler().read(connection, readBuffer);
-            }
-            if (closeReason != null) {
-                connection.closeAfterPeer(closeReason, isEndOfInput);
-            }
-        }
-
-        /** Reads available input and returns whether the end of input was reached. */
-        private boolean fillReadBuffer(SocketChannel channel) throws IOException {
-            int received = 1;
-            while (received > 0 && readBuffer.hasRemaining()) {
-                received = channel.read(readBuffer);
-            }
-            return received < 0;
-        }
     }
 
     /** Creates the {@link HttpConnection} of each connection; the last filter of the chain. */
@@ -291,7 +248,8 @@
                             lastId.incrementAndGet(),
                             grizzlyConnection,
                             handlerFactory.get(),
-                            readRounds);
+                            readRounds,
+                            reader);
             HTTP_CONNECTION.set(grizzlyConnection, connection);
             CloseListener<Closeable, CloseType> closeListener =
                     (closeable, type) -> connection.close("closed (" + type + ")");
@@ -309,17 +267,46 @@
     }
 
     /**
-     * Runs a task while no connection is being read, on the calling thread. A connection that the
-     * task closes has delivered all bytes that were read to its handler; what it has not read is
-     * reset. The task must not wait for another thread that reads.
+     * Runs a task on the transport's thread, between two reads; at once if called on that thread.
+     *
+     * @return completed when the task has run; completed exceptionally if it failed, or if the
+     *     transport was closed before
      */
-    public void runBetweenReads(Runnable task) {
-        readLock.lock();
-        try {
-            task.run();
-        } finally {
-            readLock.unlock();
-        }
+    public CompletableFuture<Void> execute(Runnable task) {
+        CompletableFuture<Void> result = new CompletableFuture<>();
+        transport
+                .getSelectorHandler()
+                .execute(
+                        readRounds.runner(),
+                        () -> {
+                            task.run();
+                            return true;
+                        },
+                        new EmptyCompletionHandler<>() {
+                            @Override
+                            public void completed(SelectorHandler.Task done) {
+                                result.complete(null);
+                            }
+
+                            @Override
+                            public void failed(Throwable cause) {
+                                result.completeExceptionally(cause);
+                            }
+
+                            @Override
+                            public void cancelled() {
+                                result.cancel(false);
+                            }
+                        });
+        return result;
+    }
+
+    /**
+     * Reads no connection any more. What arrives from now on stays unread, so that the peer sees a
+     * reset when this process ends. Called on the transport's thread.
+     */
+    public void stopReading() {
+        reader.stop();
     }
 
     /**
@@ -330,7 +317,10 @@
         return readRounds.longestRoundMicros();
     }
 
-    /** Closes all connections and stops the thread. */
+    /**
+     * Closes all connections and stops the thread, as if this process were killed: what waits to be
+     * written is lost, and a peer cannot tell whether its last bytes were read.
+     */
     @Override
     public void close() {
         try {
--- a/http/src/main/java/milletyoke/http/ReadRounds.java
+++ b/http/src/main/java/milletyoke/http/ReadRounds.java
@@ -6,6 +6,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -23,8 +24,7 @@
  * idle, since an idle thread is woken at once as a rule. A round begins more often than that, so a
  * longer wait shows that the thread did not run in time.
  *
- * <p>Used on the transport's thread, except for {@link #addListener} and {@link
- * #longestRoundMicros}.
+ * <p>Used on the transport's thread, except for the methods that say otherwise.
  */
 final class ReadRounds extends DefaultSelectorHandler {
     /** How long bytes may have waited although none is reported. */
@@ -37,6 +37,7 @@
     private static final long MIN_IDLE_MICROS = 500;
 
     private final LongSupplier clock;
+    private final CompletableFuture<SelectorRunner> firstRunner = new CompletableFuture<>();
     private final List<TCPNIOServerConnection> listeners = new CopyOnWriteArrayList<>();
 
     /** When the current round began. */
@@ -65,11 +66,25 @@
         acceptQueueEmptyMicros = roundBeganMicros;
     }
 
-    /** Adds a listener whose accept queue counts; one that is closed counts no more. */
+    /**
+     * Adds a listener whose accept queue counts; one that is closed counts no more. May be called
+     * on any thread.
+     */
     void addListener(TCPNIOServerConnection listener) {
         listeners.add(listener);
     }
 
+    @Override
+    public boolean preSelect(SelectorRunner runner) throws IOException {
+        firstRunner.complete(runner);
+        return super.preSelect(runner);
+    }
+
+    /** Returns what runs the rounds, as soon as the transport's thread runs. Any thread. */
+    SelectorRunner runner() {
+        return firstRunner.join();
+    }
+
     @Override
     public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
         boolean watchesAcceptQueues = listeners.stream().allMatch(ReadRounds::isWatched);
@@ -135,6 +150,11 @@
         return Math.min(earliestArrivalMicros, queuedMicros);
     }
 
+    /** Returns the time of the monotonic clock. May be called on any thread. */
+    long nowMicros() {
+        return clock.getAsLong();
+    }
+
     /** Returns how long bytes may have waited that arrived at a time, in microseconds. */
     long unreadMicros(long arrivalMicros) {
         return clock.getAsLong() - arrivalMicros;
