Restart soak: a clean end without a response counts as read; requests in pieces; more holds

RestartClient waited 250 ms after a clean end and wrote a byte to find out whether the request had been read. No client does that, so the soak passed where clients could not tell. An end in order without a response is a violation now, also right after the request was sent. One request in eight is sent in two pieces and counts as sent from its last byte on; every plan that has no hold near it gets one of 20 to 150 ms around the closing. The earlier draws of a plan are unchanged.

--- a/cli/src/test/java/milletyoke/cli/RestartClient.java
+++ b/cli/src/test/java/milletyoke/cli/RestartClient.java
@@ -21,9 +21,10 @@
     /** One in this many requests is abandoned by its client. */
     private static final int ABANDONED_ONE_IN = 25;
 
-    /** Longer than a process may be held up between the end and the reset of a connection. */
-    static final long PROBE_DELAY_MILLIS = 250;
+    /** One in this many requests is sent in two pieces. */
+    private static final int IN_PIECES_ONE_IN = 8;
 
+    private static final int MAX_PIECE_DELAY_MILLIS = 40;
     private static final int MAX_PATIENCE_MILLIS = 80;
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final String[] CLASSES = {"read", "mark", "order"};
@@ -36,6 +37,10 @@
     private final InetSocketAddress address;
     private final RestartPlan plan;
     private final SplittableRandom random;
+
+    /** Draws which requests are sent in pieces; the other choices do not depend on it. */
+    private final SplittableRandom pieces;
+
     private final Selector selector;
     private final List<RestartRequest> requests;
     private final ByteBuffer input = ByteBuffer.allocate(BUFFER_BYTES);
@@ -45,8 +50,10 @@
     private long leaveAtNanos;
     private long nextSendAtNanos;
 
-    /** When to find out whether the request on an ended connection was read; 0 for not. */
-    private long probeAtNanos;
+    /** The rest of the open request, which is sent later; null if it was sent whole. */
+    private ByteBuffer unsent;
+
+    private long sendRestAtNanos;
 
     private int sentCount;
 
@@ -61,6 +68,7 @@
         address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         this.plan = plan;
         this.random = random;
+        pieces = new SplittableRandom(plan.seed() ^ index);
         this.selector = selector;
         this.requests = requests;
     }
@@ -74,13 +82,12 @@
         if (!isConnected()) {
             return;
         }
-        if (probeAtNanos > 0) {
-            probeIfDue();
-            return;
-        }
         if (open != null) {
             readResponse();
         }
+        if (open != null && unsent != null && System.nanoTime() > sendRestAtNanos) {
+            sendRest();
+        }
         if (open != null && System.nanoTime() > leaveAtNanos) {
             open.end(RestartRequest.Ending.LEFT);
             disconnect();
@@ -124,19 +131,33 @@
                                 plan.longestDeadlineMillis() / 2, plan.longestDeadlineMillis() + 1),
                         System.nanoTime());
         open = request;
+        ByteBuffer bytes = ByteBuffer.wrap(format(request));
+        if (pieces.nextInt(IN_PIECES_ONE_IN) == 0) {
+            unsent = bytes.duplicate().position(pieces.nextInt(1, bytes.limit()));
+            bytes.limit(unsent.position());
+            sendRestAtNanos = millisFromNow(pieces.nextInt(MAX_PIECE_DELAY_MILLIS));
+        }
         boolean isAbandoned = random.nextInt(ABANDONED_ONE_IN) == 0;
         leaveAtNanos =
                 isAbandoned ? millisFromNow(random.nextInt(MAX_PATIENCE_MILLIS)) : Long.MAX_VALUE;
         requests.add(request);
         try {
             if (readAvailable() >= 0) {
-                channel.write(ByteBuffer.wrap(format(request)));
-                // A connection that ends in this moment crosses the request, which was never read.
-                if (readAvailable() >= 0) {
-                    return;
-                }
+                channel.write(bytes);
+            } else {
+                endConnection(RestartRequest.Ending.CROSSED);
             }
-            endConnection(RestartRequest.Ending.CROSSED);
+        } catch (IOException reset) {
+            endConnection(RestartRequest.Ending.RESET);
+        }
+    }
+
+    /** Sends the rest of a request, which counts as sent from its last byte on. */
+    private void sendRest() throws IOException {
+        try {
+            open.sentAtNanos = System.nanoTime();
+            channel.write(unsent);
+            unsent = null;
         } catch (IOException reset) {
             endConnection(RestartRequest.Ending.RESET);
         }
@@ -172,8 +193,8 @@
             return;
         }
         if (!completeResponse() && isAtEnd) {
-            open.end(RestartRequest.Ending.CLOSED);
-            probeAtNanos = millisFromNow(PROBE_DELAY_MILLIS);
+            endConnection(
+                    unsent == null ? RestartRequest.Ending.CLOSED : RestartRequest.Ending.CROSSED);
         }
     }
 
@@ -200,22 +221,6 @@
         return true;
     }
 
-    /**
-     * Finds out whether the process had read the request of a connection that ended. A socket that
-     * is closed with unread bytes sends a reset after its end, so that a write fails at once.
-     */
-    private void probeIfDue() throws IOException {
-        if (System.nanoTime() < probeAtNanos) {
-            return;
-        }
-        try {
-            channel.write(ByteBuffer.wrap(new byte[1]));
-        } catch (IOException reset) {
-            open.ending = RestartRequest.Ending.RESET;
-        }
-        disconnect();
-    }
-
     /** Reads without waiting; returns a negative number at the end of the connection. */
     private int readAvailable() throws IOException {
         input.clear();
@@ -238,7 +243,7 @@
         }
         channel = null;
         open = null;
-        probeAtNanos = 0;
+        unsent = null;
         received.setLength(0);
         nextSendAtNanos = millisFromNow(RECONNECT_MILLIS);
     }
--- a/cli/src/test/java/milletyoke/cli/RestartPlan.java
+++ b/cli/src/test/java/milletyoke/cli/RestartPlan.java
@@ -34,6 +34,12 @@
     /** For how long a process may be held up at any moment. */
     static final long HOLD_MILLIS = 150;
 
+    private static final long MIN_HOLD_MILLIS = 20;
+
+    /** How long before the kill a process begins to close connections, at most and at least. */
+    private static final long MAX_CLOSING_LEAD = 660;
+
+    private static final long MIN_CLOSING_LEAD = 400;
     private static final long MAX_COUNTED_DEADLINE_MILLIS = 3_000;
 
     /** Time between two holds, in which the process can work. */
@@ -52,8 +58,12 @@
 
     /** Returns the signals that hold up a process from the given time on. */
     static List<TimedSignal> hold(long atMillis) {
+        return hold(atMillis, HOLD_MILLIS);
+    }
+
+    private static List<TimedSignal> hold(long atMillis, long millis) {
         return List.of(
-                new TimedSignal(atMillis, "STOP"), new TimedSignal(atMillis + HOLD_MILLIS, "CONT"));
+                new TimedSignal(atMillis, "STOP"), new TimedSignal(atMillis + millis, "CONT"));
     }
 
     /** Draws a plan from a seed. */
@@ -86,6 +96,23 @@
                 isReloadedWhileStarting);
     }
 
+    /** Adds a hold around the closing of connections, unless another one is close to it. */
+    private static void addHoldOverClosing(
+            SplittableRandom random, long killAtMillis, List<TimedSignal> signals) {
+        long startMillis = killAtMillis - random.nextLong(MIN_CLOSING_LEAD, MAX_CLOSING_LEAD);
+        long millis = random.nextLong(MIN_HOLD_MILLIS, HOLD_MILLIS + 1);
+        boolean isClear =
+                signals.stream()
+                        .filter(signal -> signal.signal().equals("STOP"))
+                        .allMatch(
+                                signal ->
+                                        Math.abs(signal.atMillis() - startMillis)
+                                                > MIN_HOLD_DISTANCE_MILLIS);
+        if (isClear) {
+            signals.addAll(hold(startMillis, millis));
+        }
+    }
+
     private static List<TimedSignal> drawSignals(SplittableRandom random, long killAtMillis) {
         List<TimedSignal> signals = new ArrayList<>();
         if (random.nextBoolean()) {
@@ -104,6 +131,7 @@
         if (random.nextInt(3) == 0) {
             signals.add(new TimedSignal(random.nextLong(1, killAtMillis - 100), "TERM"));
         }
+        addHoldOverClosing(random, killAtMillis, signals);
         signals.sort(Comparator.comparingLong(TimedSignal::atMillis));
         return List.copyOf(signals);
     }
--- a/cli/src/test/java/milletyoke/cli/RestartRequest.java
+++ b/cli/src/test/java/milletyoke/cli/RestartRequest.java
@@ -10,18 +10,21 @@
         ANSWERED,
         /** The client closed its connection first. */
         LEFT,
-        /** The connection ended before the request was sent; the client sends it again. */
+        /** The connection ended before the request was sent whole; the client sends it again. */
         CROSSED,
         /** The connection was reset, as happens if the process never read the request. */
         RESET,
-        /** The connection ended without a response after the process had read the request. */
+        /** The connection ended in order without a response, so that the request may be read. */
         CLOSED
     }
 
     final String transactionId;
     final String requestClass;
     final long remainingMillis;
-    final long sentAtNanos;
+
+    /** When the last byte was sent. */
+    long sentAtNanos;
+
     Ending ending = Ending.NONE;
     int status;
 
--- a/cli/src/test/java/milletyoke/cli/RestartSoak.java
+++ b/cli/src/test/java/milletyoke/cli/RestartSoak.java
@@ -18,7 +18,8 @@
     /** How long before SIGTERM targets stop responding. */
     private static final long HANG_LEAD_MILLIS = 200;
 
-    private static final long CONNECTION_END_MILLIS = RestartClient.PROBE_DELAY_MILLIS + 100;
+    /** How long clients still run after the kill, to see how their connections ended. */
+    private static final long CONNECTION_END_MILLIS = 350;
 
     /**
      * What one restart showed.
@@ -30,6 +31,7 @@
             RestartPlan plan,
             List<RestartJudge.Violation> violations,
             int requestCount,
+            long resetCount,
             long lateCount,
             long lateForwardedCount,
             long lateServedCount,
@@ -45,7 +47,7 @@
         @Override
         public String toString() {
             return String.format(
-                    "seed=%d deadline=%d hanging=%d clients=%d idle=%d requests=%d late=%d"
+                    "seed=%d deadline=%d hanging=%d clients=%d idle=%d requests=%d reset=%d late=%d"
                             + " lateForwarded=%d lateServed=%d endedByItself=%s violations=%d",
                     plan.seed(),
                     plan.longestDeadlineMillis(),
@@ -53,6 +55,7 @@
                     plan.clientCount(),
                     plan.idleClientCount(),
                     requestCount,
+                    resetCount,
                     lateCount,
                     lateForwardedCount,
                     lateServedCount,
@@ -117,6 +120,9 @@
                 plan,
                 violations,
                 requests.size(),
+                requests.stream()
+                        .filter(request -> request.ending == RestartRequest.Ending.RESET)
+                        .count(),
                 late.size(),
                 late.stream().filter(judge::isForwarded).count(),
                 late.stream().filter(request -> request.status == 200).count(),
