Test: a response that its client has not read survives the end of the process

A reset at the closing could destroy a response that waits in the operating system for its client. UnreadResponseTest lets a client with a small receive buffer read 60,000 bytes only after the process has ended; in the restart soak one target answers with 60,000 bytes now. HttpConnection asks isOutputDelivered in place of the same condition written out.

--- a/cli/src/test/java/milletyoke/cli/KeptConnection.java
+++ b/cli/src/test/java/milletyoke/cli/KeptConnection.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -39,17 +40,37 @@
     private Outcome outcome;
 
     KeptConnection(int port) throws IOException {
-        channel = SocketChannel.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        this(port, 0);
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param receiveBufferBytes 0 for the system's own choice
+     */
+    KeptConnection(int port, int receiveBufferBytes) throws IOException {
+        channel = SocketChannel.open();
+        if (receiveBufferBytes > 0) {
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, receiveBufferBytes);
+        }
+        channel.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         channel.configureBlocking(false);
     }
 
     /** Returns a request of a class that may be repeated. */
     static String request(String transactionId, long remainingMillis) {
+        return request(transactionId, remainingMillis, 0);
+    }
+
+    /** Returns a request to one of the targets. */
+    static String request(String transactionId, long remainingMillis, int target) {
         return "GET /api HTTP/1.1\r\nHost: a\r\nX-Txn: "
                 + transactionId
                 + "\r\nX-Lane: read\r\nX-Plan: p\r\nCookie: key=7f3a9c21e0b4d655\r\nX-Remaining: "
                 + remainingMillis / 1_000.0
-                + "\r\nX-IO: volume=00000003b4d60021,units=1,shard=0,hosts=1\r\n\r\n";
+                + "\r\nX-IO: volume=00000003b4d60021,units=1,shard="
+                + target
+                + ",hosts=1\r\n\r\n";
     }
 
     /** Sends bytes unless the connection has ended, which the outcome then tells. */
--- a/cli/src/test/java/milletyoke/cli/RestartTargets.java
+++ b/cli/src/test/java/milletyoke/cli/RestartTargets.java
@@ -19,6 +19,12 @@
     private static final long SERVICE_MILLIS = 8;
     private static final byte[] BODY = "served".getBytes(StandardCharsets.US_ASCII);
 
+    /** The target whose responses are as long as the platform allows, nearly. */
+    static final int LARGE_RESPONSE_TARGET = RestartPlan.TARGET_COUNT - 1;
+
+    static final int LARGE_BODY_BYTES = 60_000;
+    private static final byte[] LARGE_BODY = new byte[LARGE_BODY_BYTES];
+
     /** The arrival of one attempt at a target. */
     record Arrival(long atNanos, double remainingSeconds) {}
 
@@ -45,7 +51,11 @@
                 .add(arrival);
         if (target >= hangingCount) {
             responder.schedule(
-                    () -> ScriptedHttpServer.answer(connection, 200, BODY),
+                    () ->
+                            ScriptedHttpServer.answer(
+                                    connection,
+                                    200,
+                                    target == LARGE_RESPONSE_TARGET ? LARGE_BODY : BODY),
                     SERVICE_MILLIS,
                     TimeUnit.MILLISECONDS);
         }
--- a/http/src/main/java/milletyoke/http/HttpConnection.java
+++ b/http/src/main/java/milletyoke/http/HttpConnection.java
@@ -292,8 +292,7 @@
      */
     public boolean endBetweenMessages(String reason, BooleanSupplier canEnd) {
         readAvailable();
-        boolean mayDestroyOutput = isWriting() || delivery.mayBeIncomplete(readRounds.nowMicros());
-        if (!isOpen() || isClosing || mayDestroyOutput || !canEnd.getAsBoolean()) {
+        if (!isOpen() || isClosing || !isOutputDelivered() || !canEnd.getAsBoolean()) {
             return false;
         }
         reset(reason);
