Connections that close gracefully are still drained after the last read of a shutdown

After the last pass of a shutdown nothing was read any more, also on connections whose output was shut down already. Bytes that a client pipelines behind its last response would then be unread at the exit, which resets the connection and destroys a response on its way. Those connections are drained until the process ends; all others stay unread as before.

--- a/http/src/main/java/milletyoke/http/HttpTransport.java
+++ b/http/src/main/java/milletyoke/http/HttpTransport.java
@@ -209,7 +209,7 @@
         @Override
         public NextAction handleRead(FilterChainContext context) {
             HttpConnection connection = HTTP_CONNECTION.get(context.getConnection());
-            if (reader.isStopped()) {
+            if (connection != null && reader.isStoppedFor(connection)) {
                 // Otherwise the socket would stay ready, and the thread would never wait.
                 HttpConnection.ignoreFailure(
                         () -> context.getConnection().disableIOEvent(IOEvent.READ));
@@ -302,8 +302,9 @@
     }
 
     /**
-     * Reads no connection any more. What arrives from now on stays unread, so that the peer sees a
-     * reset when this process ends. Called on the transport's thread.
+     * Reads no connection any more but those that close gracefully. What arrives from now on stays
+     * unread, so that the peer sees a reset when this process ends. Called on the transport's
+     * thread.
      */
     public void stopReading() {
         reader.stop();
--- a/http/src/main/java/milletyoke/http/SocketReader.java
+++ b/http/src/main/java/milletyoke/http/SocketReader.java
@@ -23,13 +23,16 @@
     private boolean isReading;
     private boolean isStopped;
 
-    /** Reads nothing any more; what arrives from now on stays unread. */
+    /**
+     * Reads nothing any more; what arrives from now on stays unread. Connections that close
+     * gracefully are still drained, since unread input could destroy their last message.
+     */
     void stop() {
         isStopped = true;
     }
 
-    boolean isStopped() {
-        return isStopped;
+    boolean isStoppedFor(HttpConnection connection) {
+        return isStopped && !connection.isClosing();
     }
 
     /**
@@ -44,7 +47,7 @@
         if (isReading) {
             throw new IllegalStateException("a connection is read while another is delivered");
         }
-        if (isStopped || !connection.isOpen()) {
+        if (isStoppedFor(connection) || !connection.isOpen()) {
             return false;
         }
         isReading = true;
--- a/http/src/test/java/milletyoke/http/ConnectionEndTest.java
+++ b/http/src/test/java/milletyoke/http/ConnectionEndTest.java
@@ -255,4 +255,18 @@
         assertReset();
         assertTrue(received.isEmpty());
     }
+
+    /** Unread input would turn the end of a process into a reset, which destroys the response. */
+    @Test
+    void aConnectionThatClosesGracefullyIsDrainedAfterTheLastRead() throws Exception {
+        connect(SMALL_BUFFER_BYTES);
+        write(LARGE_BYTES);
+        connection.closeGracefully();
+        transport.execute(() -> transport.stopReading()).get();
+        runBeforeReads("pipelined", () -> connection.readAvailable());
+        connection.close(REASON);
+        assertEquals(0, ending.get().unreadBytes());
+        assertEquals("pipelined".length(), ending.get().droppedBytes());
+        assertArrayEquals(new byte[LARGE_BYTES], peer.getInputStream().readAllBytes());
+    }
 }
