A shutdown accepts the connections in its backlog before it stops listening

A client whose connection waited in the accept queue when the process stopped listening got a reset although its request had been taken: it can tell that it was not read, but an answer could have been given. The listener accepts what waits, on the transport's thread, before it is unbound; the shutdown stops admission first and then waits for that. Where a crowd keeps accepting paused, the backlog is reset as before.

--- a/http/src/main/java/milletyoke/http/HttpTransport.java
+++ b/http/src/main/java/milletyoke/http/HttpTransport.java
@@ -37,6 +37,10 @@
 /** Accepts, opens and reads TCP connections on a single dedicated thread. */
 public final class HttpTransport implements AutoCloseable {
     private static final int BACKLOG = 1024;
+
+    /** How long a listener that stops waits for the transport's thread. */
+    private static final long MAX_STOP_WAIT_MILLIS = 10_000;
+
     private static final Attribute<HttpConnection> HTTP_CONNECTION =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("milletyoke.http");
 
@@ -72,7 +76,11 @@
         /** Accepts connections again after {@link #pause}. */
         void resume();
 
-        /** Stops accepting connections permanently. */
+        /**
+         * Stops accepting connections permanently. Those in the backlog are accepted before that on
+         * the transport's thread, for which this method waits; they are reset if accepting is
+         * paused.
+         */
         void stop();
     }
 
@@ -137,15 +145,21 @@
                             .build()
                             .bind(new InetSocketAddress(host, port), BACKLOG);
             readRounds.addListener(server);
-            return new BoundListener(transport, server);
+            return new BoundListener(server);
         } catch (IOException cause) {
             throw new IOException(
                     "cannot listen at " + host + ":" + port + ": " + cause.getMessage(), cause);
         }
     }
 
-    private record BoundListener(TCPNIOTransport transport, TCPNIOServerConnection server)
-            implements Listener {
+    private final class BoundListener implements Listener {
+        private final TCPNIOServerConnection server;
+        private volatile boolean isPaused;
+
+        BoundListener(TCPNIOServerConnection server) {
+            this.server = server;
+        }
+
         @Override
         public int port() {
             return ((InetSocketAddress) server.getLocalAddress()).getPort();
@@ -153,18 +167,35 @@
 
         @Override
         public void pause() {
+            isPaused = true;
             HttpConnection.ignoreFailure(() -> server.disableIOEvent(IOEvent.SERVER_ACCEPT));
         }
 
         @Override
         public void resume() {
+            isPaused = false;
             HttpConnection.ignoreFailure(() -> server.enableIOEvent(IOEvent.SERVER_ACCEPT));
         }
 
         @Override
         public void stop() {
+            execute(() -> HttpConnection.ignoreFailure(this::acceptWaiting))
+                    .exceptionally(closed -> null)
+                    .completeOnTimeout(null, MAX_STOP_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+                    .join();
             transport.unbind(server);
         }
+
+        /** Accepts the connections in the operating system's backlog, which a stop would reset. */
+        private void acceptWaiting() throws IOException {
+            int openedBefore = lastId.get() - 1;
+            for (int count = 0;
+                    count < BACKLOG && !isPaused && lastId.get() > openedBefore;
+                    count++) {
+                openedBefore = lastId.get();
+                server.onAccept();
+            }
+        }
     }
 
     /**
