A fault of one connection's handler does not keep a shutdown from its last read

A last read delivers to the handler outside of the transport's own reading, which closes the connection whose handler fails. A failure there would have ended the pass over all connections and left reading on until the exit. SocketReader.readAll closes that connection alone, and reading stops in any case. Found by reading the change; not seen.

--- a/http/src/main/java/milletyoke/http/HttpConnection.java
+++ b/http/src/main/java/milletyoke/http/HttpConnection.java
@@ -300,8 +300,8 @@
     }
 
     /**
-     * Reads what has arrived and delivers it to the handler. Must be called on the transport's
-     * thread, but not by a handler's {@code read}.
+     * Reads what has arrived and delivers it to the handler, on the transport's thread. Must not be
+     * called by a handler's {@code read}. If the handler fails, the connection closes.
      */
     public void readAvailable() {
         SocketChannel channel = channel();
--- a/http/src/main/java/milletyoke/http/SocketReader.java
+++ b/http/src/main/java/milletyoke/http/SocketReader.java
@@ -58,11 +58,18 @@
         }
     }
 
-    /** Reads until the socket has no more input or the connection is closed. */
+    /**
+     * Reads until the socket has no more input or the connection is closed. If the handler fails,
+     * the connection is closed, as the transport does for {@link #read}.
+     */
     void readAll(HttpConnection connection, SocketChannel channel) {
         int count = 1;
-        while (read(connection, channel) && count < MAX_READS) {
-            count++;
+        try {
+            while (read(connection, channel) && count < MAX_READS) {
+                count++;
+            }
+        } catch (RuntimeException fault) {
+            connection.close("read failed: " + fault);
         }
     }
 
