Held shutdowns: requests until the exit, too; a response to the first part is kept

The test sent until 20 ms after the closing began, which none of the resets reached. A second case sends, and holds the process, until 250 ms after it, so that requests cross every end up to the exit.

--- a/cli/src/test/java/milletyoke/cli/HeldShutdownTest.java
+++ b/cli/src/test/java/milletyoke/cli/HeldShutdownTest.java
@@ -34,9 +34,9 @@
     private static final int MIN_HOLD_MILLIS = 20;
     private static final int MAX_HOLD_MILLIS = 150;
     private static final int MAX_LEAD_MILLIS = 80;
-    private static final int MAX_DELAY_MILLIS = 10;
     private static final int BEFORE_CLOSING_MILLIS = 12;
     private static final int AFTER_CLOSING_MILLIS = 20;
+    private static final int UNTIL_EXIT_MILLIS = 250;
 
     @TempDir Path folder;
 
@@ -48,14 +48,25 @@
 
     @Test
     void everyRequestThatCrossesTheClosingIsAnsweredOrReset() throws Exception {
+        assertAllAnsweredOrReset(AFTER_CLOSING_MILLIS);
+    }
+
+    /** The hold begins anywhere from before the closing to the exit. */
+    @Test
+    void everyRequestUntilTheExitIsAnsweredOrReset() throws Exception {
+        assertAllAnsweredOrReset(UNTIL_EXIT_MILLIS);
+    }
+
+    /** Plays all seeds with requests and holds until some time after the closing has begun. */
+    private void assertAllAnsweredOrReset(int untilMillis) throws Exception {
         String[] range = SEEDS.split("-", 2);
         List<String> failures = new ArrayList<>();
         for (long seed :
                 LongStream.rangeClosed(
                                 Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]))
                         .toArray()) {
-            Map<KeptConnection.Outcome, Integer> outcomes = play(seed);
-            String line = "seed=" + seed + " " + outcomes;
+            Map<KeptConnection.Outcome, Integer> outcomes = play(seed, untilMillis);
+            String line = "seed=" + seed + " until=" + untilMillis + " " + outcomes;
             System.out.println(line);
             if (isLost(outcomes)) {
                 failures.add(line);
@@ -69,9 +80,9 @@
                 || outcomes.containsKey(KeptConnection.Outcome.NO_END);
     }
 
-    private Map<KeptConnection.Outcome, Integer> play(long seed) throws Exception {
+    private Map<KeptConnection.Outcome, Integer> play(long seed, int untilMillis) throws Exception {
         SplittableRandom random = new SplittableRandom(seed);
-        Path seedFolder = Files.createDirectory(folder.resolve("seed-" + seed));
+        Path seedFolder = Files.createDirectory(folder.resolve(untilMillis + "-seed-" + seed));
         List<KeptConnection> connections = new ArrayList<>();
         try (ServeProcess served = new ServeProcess(seedFolder, DEADLINE_MILLIS);
                 SignalSender signals = new SignalSender()) {
@@ -85,10 +96,11 @@
             for (KeptConnection connection : connections) {
                 assertEquals(KeptConnection.Outcome.ANSWERED, connection.awaitOutcome());
             }
-            long start = CLOSING_MILLIS + random.nextInt(-MAX_LEAD_MILLIS, MAX_DELAY_MILLIS);
+            long start = CLOSING_MILLIS + random.nextInt(-MAX_LEAD_MILLIS, untilMillis / 2);
             Hold hold =
                     new Hold(start, start + random.nextInt(MIN_HOLD_MILLIS, MAX_HOLD_MILLIS + 1));
-            playShutdown(served.process(), signals, hold, drawSends(random, connections));
+            playShutdown(
+                    served.process(), signals, hold, drawSends(random, connections, untilMillis));
             Map<KeptConnection.Outcome, Integer> outcomes =
                     new EnumMap<>(KeptConnection.Outcome.class);
             for (KeptConnection connection : connections) {
@@ -108,10 +120,10 @@
     }
 
     private static List<TimedSend> drawSends(
-            SplittableRandom random, List<KeptConnection> connections) {
+            SplittableRandom random, List<KeptConnection> connections, int untilMillis) {
         List<TimedSend> sends = new ArrayList<>();
         long fromMicros = TimeUnit.MILLISECONDS.toMicros(CLOSING_MILLIS - BEFORE_CLOSING_MILLIS);
-        long toMicros = TimeUnit.MILLISECONDS.toMicros(CLOSING_MILLIS + AFTER_CLOSING_MILLIS);
+        long toMicros = TimeUnit.MILLISECONDS.toMicros(CLOSING_MILLIS + untilMillis);
         for (int index = 0; index < connections.size(); index++) {
             KeptConnection connection = connections.get(index);
             String request = KeptConnection.request("second" + index, DEADLINE_MILLIS);
--- a/cli/src/test/java/milletyoke/cli/KeptConnection.java
+++ b/cli/src/test/java/milletyoke/cli/KeptConnection.java
@@ -73,17 +73,21 @@
                 + ",hosts=1\r\n\r\n";
     }
 
-    /** Sends bytes unless the connection has ended, which the outcome then tells. */
+    /**
+     * Sends bytes unless the connection has ended, or a response was received to the part of a
+     * request that was sent before; the outcome then tells that.
+     */
     void send(String bytes) {
         if (outcome != null) {
             return;
         }
         try {
-            if (channel.read(input.clear()) < 0) {
+            outcome = receive();
+            if (outcome == null) {
+                channel.write(ByteBuffer.wrap(bytes.getBytes(StandardCharsets.US_ASCII)));
+            } else if (outcome == Outcome.ENDED_WITHOUT_RESPONSE) {
                 outcome = Outcome.ENDED_BEFORE_SENT;
-                return;
             }
-            channel.write(ByteBuffer.wrap(bytes.getBytes(StandardCharsets.US_ASCII)));
         } catch (IOException reset) {
             outcome = Outcome.RESET;
         }
