--- a/review/src-2/SecondAnswer.java
+++ b/review/src-2/SecondAnswer.java
@@ -17,12 +17,20 @@
     /** The longest time for which a program may be held up. */
     private static final long MOST_HELD_MICROS = 150_000;
 
+    /** A copy that comes later might cross a request that was sent in good faith. */
+    private static final long MOST_COPIED_AFTER_MICROS = 9_000;
+
     private static final int OTHER_CLIENTS = 20;
 
     /** Answers every request at once, and again a little later if nothing else came. */
     private static final class RepeatingTarget extends Kit.Target {
         volatile boolean repeatsNext;
 
+        /** When the last copy was written, and how long after its answer. */
+        volatile long copiedAtMicros;
+
+        volatile long copiedAfterMicros;
+
         RepeatingTarget(String uid, int shard) throws Exception {
             super(uid, shard);
         }
@@ -34,10 +42,13 @@
             boolean repeats = repeatsNext;
             repeatsNext = false;
             out.write(answer);
+            long answeredAt = Kit.micros();
             if (repeats) {
                 Kit.sleep(COPY_AFTER_MILLIS);
                 if (in.available() == 0) {
                     out.write(answer);
+                    copiedAtMicros = Kit.micros();
+                    copiedAfterMicros = copiedAtMicros - answeredAt;
                     Kit.note(uid + " sends the answer to " + request.txn() + " once more");
                 }
             }
@@ -67,7 +78,7 @@
         Kit.Client second = new Kit.Client(program.port);
         int foreign = 0;
         int answered = 0;
-        int tooLong = 0;
+        int notJudged = 0;
         for (int round = 0; round < ROUNDS; round++) {
             Kit.Request one = Kit.Request.read(0, 2.5);
             Kit.Request two = Kit.Request.read(0, 2.5);
@@ -88,15 +99,19 @@
                 other.send(request);
             }
             Kit.sleep(HELD_MILLIS / 2);
+            long continuedAt = Kit.micros();
             if (Kit.TROUBLE) {
                 Kit.note("runs again");
                 signals.send("CONT", program.process);
             }
-            boolean isHeldTooLong = Kit.TROUBLE && Kit.micros() - heldAt > MOST_HELD_MICROS;
-            tooLong += isHeldTooLong ? 1 : 0;
+            boolean isJudged =
+                    Kit.micros() - heldAt <= MOST_HELD_MICROS
+                            && target.copiedAtMicros < continuedAt
+                            && target.copiedAfterMicros <= MOST_COPIED_AFTER_MICROS;
+            notJudged += isJudged ? 0 : 1;
             Kit.Message answer = second.receive(two, 5_000);
             answered += answer.status() == 200 ? 1 : 0;
-            foreign += isForeign(two, answer) && !isHeldTooLong ? 1 : 0;
+            foreign += isForeign(two, answer) && isJudged ? 1 : 0;
             for (int i = 0; i < OTHER_CLIENTS; i++) {
                 foreign += isForeign(asked.get(i), others.get(i).receive(asked.get(i), 5_000)) ? 1 : 0;
             }
@@ -105,7 +120,7 @@
         Kit.say(
                 foreign + " answers that were made for another request, in " + ROUNDS
                         + " rounds; " + answered + " second requests were served; "
-                        + tooLong + " rounds not judged, held up for over 0.15 s");
+                        + notJudged + " rounds not judged: held up for over 0.15 s, or the copy late");
         return foreign == 0;
     }
 
