A request that may have run is not run again when its id comes again

Cause: the process knew an id only while its request was open (OpenRequests); once the first attempt had ended, the same id was a new request, whether or not a client ever got the answer.

Change: the scheduler remembers ids of requests that may have run (ExecutedRequests) for the longest deadline and the longest deduplication window, 30 s at most. An admitted copy takes over where and when the first one ran, so that RetryPolicy, which SendGuard asks for rule 2, decides it by its kind: idempotent ones and keys within their window go on, any other fails at once (502, which promises nothing). What provably never ran leaves nothing. At most 32,768 ids, half of them of one volume; none is dropped early: without room a new write is rejected before its first attempt (503). In service the id is X-Txn; in the own protocol the idempotency key, if the client sets one.

--- a/core/src/main/java/milletyoke/scheduler/ActiveSettings.java
+++ b/core/src/main/java/milletyoke/scheduler/ActiveSettings.java
@@ -15,6 +15,9 @@
  * are those of the start; request classes, plans and capabilities follow later changes.
  */
 final class ActiveSettings {
+    /** How long the ids of requests that may have run are remembered at most. */
+    private static final long MAX_EXECUTION_MEMORY_MICROS = 30_000_000;
+
     private final SchedulerTuning tuning;
     private final Map<String, RequestClass> requestClasses = new HashMap<>();
     private final Map<String, ServicePlan> plans = new HashMap<>();
@@ -24,6 +27,7 @@
     private long seed;
     private long startedAt;
     private long shortestObjectiveMicros;
+    private long executionMemoryMicros;
     private boolean hasManyInitiators;
 
     ActiveSettings(SchedulerTuning tuning) {
@@ -47,9 +51,33 @@
                         .mapToLong(RequestClass::latencyObjectiveMicros)
                         .min()
                         .orElse(0);
+        executionMemoryMicros = executionMemoryMicros(next);
         settings.plans().forEach(p -> plans.put(p.name(), p));
     }
 
+    private static long executionMemoryMicros(SchedulerSettings settings) {
+        long deadlineMicros = settings.longestDeadlineMicros();
+        if (deadlineMicros <= 0 || deadlineMicros >= MAX_EXECUTION_MEMORY_MICROS) {
+            return MAX_EXECUTION_MEMORY_MICROS;
+        }
+        long longestWindowMicros =
+                settings.requestClasses().stream()
+                        .mapToLong(RequestClass::deduplicationWindowMicros)
+                        .max()
+                        .orElse(0);
+        long windowMicros = Math.max(0, Math.min(longestWindowMicros, MAX_EXECUTION_MEMORY_MICROS));
+        return Math.min(MAX_EXECUTION_MEMORY_MICROS, deadlineMicros + windowMicros);
+    }
+
+    /**
+     * Returns how long the id of a request that may have run is remembered: for the longest
+     * deadline, within which its client may send it again, and the longest deduplication window,
+     * but for 30 s at most.
+     */
+    long executionMemoryMicros() {
+        return executionMemoryMicros;
+    }
+
     RuleLimits limits() {
         return limits;
     }
--- a/core/src/main/java/milletyoke/scheduler/AttemptCompletion.java
+++ b/core/src/main/java/milletyoke/scheduler/AttemptCompletion.java
@@ -116,6 +116,9 @@
         if (mayStillExecute) {
             keyOrdering.startQuietPeriod(request);
         }
+        if (outcome == Outcome.SUCCEEDED) {
+            request.succeededOn = target;
+        }
         if (request.executedOn < 0 && (mayStillExecute || outcome == Outcome.ERROR)) {
             request.executedOn = target;
             request.executedAttemptSentAt = request.sentAt;
--- a/core/src/main/java/milletyoke/scheduler/CompletionPolicy.java
+++ b/core/src/main/java/milletyoke/scheduler/CompletionPolicy.java
@@ -35,6 +35,12 @@
         pendingRequests.complete(request);
     }
 
+    /** Ends a request of which an earlier copy may have had its effect. */
+    void failDuplicate(PendingRequest request) {
+        turn.add(new Action.Fail(request.received.id()));
+        pendingRequests.complete(request);
+    }
+
     /** An attempt in flight may still execute, and then after the client's retry. */
     private static boolean isSafeToRetry(PendingRequest request) {
         Idempotency idempotency = request.requestClass.idempotency();
--- a/core/src/main/java/milletyoke/scheduler/PendingRequest.java
+++ b/core/src/main/java/milletyoke/scheduler/PendingRequest.java
@@ -82,6 +82,12 @@
     /** When that attempt was sent. */
     long executedAttemptSentAt;
 
+    /** Target of the attempt that succeeded, -1 for none. */
+    int succeededOn = -1;
+
+    /** Whether room is reserved to remember the request as executed. */
+    boolean hasReservedExecutionId;
+
     boolean answered;
 
     /**
--- a/core/src/main/java/milletyoke/scheduler/PendingRequests.java
+++ b/core/src/main/java/milletyoke/scheduler/PendingRequests.java
@@ -11,15 +11,18 @@
     private final Map<String, PendingRequest> byId;
     private final DispatchQueue dispatchQueue;
     private final KeyOrdering keyOrdering;
+    private final ExecutedRequests executedRequests;
     private long admittedCount;
 
     PendingRequests(
             Map<String, PendingRequest> byId,
             DispatchQueue dispatchQueue,
-            KeyOrdering keyOrdering) {
+            KeyOrdering keyOrdering,
+            ExecutedRequests executedRequests) {
         this.byId = byId;
         this.dispatchQueue = dispatchQueue;
         this.keyOrdering = keyOrdering;
+        this.executedRequests = executedRequests;
     }
 
     /**
@@ -64,6 +67,7 @@
         if (request.inFlightTarget < 0) {
             byId.remove(request.received.id());
             request.volume.pendingCount--;
+            executedRequests.complete(request);
             keyOrdering.remove(request);
         }
     }
--- a/core/src/main/java/milletyoke/scheduler/RequestAdmitter.java
+++ b/core/src/main/java/milletyoke/scheduler/RequestAdmitter.java
@@ -5,7 +5,10 @@
 import milletyoke.scheduler.api.Event;
 import milletyoke.scheduler.api.SchedulerSettings.RequestClass;
 
-/** Admits requests: sets their deadline and latency objective, and queues them. */
+/**
+ * Admits requests: sets their deadline and latency objective, and queues them. A request that was
+ * executed before under the same id is ended at once.
+ */
 final class RequestAdmitter {
     private final DispatchQueue dispatchQueue;
     private final ActiveSettings settings;
@@ -18,6 +21,9 @@
     private final PlacementPolicy placement;
     private final FairQueue fairQueue;
     private final WarmUpBudget warmUpBudget;
+    private final ExecutedRequests executedRequests;
+    private final RetryPolicy retryPolicy;
+    private final CompletionPolicy completionPolicy;
     private final SchedulerTuning tuning;
 
     /**
@@ -38,6 +44,9 @@
             PlacementPolicy placement,
             FairQueue fairQueue,
             WarmUpBudget warmUpBudget,
+            ExecutedRequests executedRequests,
+            RetryPolicy retryPolicy,
+            CompletionPolicy completionPolicy,
             SchedulerTuning tuning) {
         this.dispatchQueue = dispatchQueue;
         this.settings = settings;
@@ -50,6 +59,9 @@
         this.placement = placement;
         this.fairQueue = fairQueue;
         this.warmUpBudget = warmUpBudget;
+        this.executedRequests = executedRequests;
+        this.retryPolicy = retryPolicy;
+        this.completionPolicy = completionPolicy;
         this.tuning = tuning;
     }
 
@@ -71,6 +83,15 @@
                 received.shard() < 0
                         ? placement.chooseShard()
                         : dispatchQueue.shardQueue(received.shard());
+        executedRequests.recall(request);
+        if (!retryPolicy.mayBeAttempted(request)) {
+            completionPolicy.failDuplicate(request);
+            return;
+        }
+        if (!executedRequests.tryReserve(request)) {
+            completionPolicy.rejectOrFail(request);
+            return;
+        }
         warmUpBudget.recordRequested(request);
         fairQueue.enqueue(request);
     }
--- a/core/src/main/java/milletyoke/scheduler/RetryPolicy.java
+++ b/core/src/main/java/milletyoke/scheduler/RetryPolicy.java
@@ -39,6 +39,14 @@
                         || isInDeduplicationScope(request, target));
     }
 
+    /**
+     * Returns whether an admitted request may have an attempt at all. It may not if an earlier
+     * request with the same id may have been executed and no target would recognize the duplicate.
+     */
+    boolean mayBeAttempted(PendingRequest request) {
+        return canExecuteAgain(request);
+    }
+
     private boolean isInDeduplicationScope(PendingRequest request, int target) {
         int first = request.executedOn;
         return first < 0
--- a/core/src/main/java/milletyoke/scheduler/SchedulerComponents.java
+++ b/core/src/main/java/milletyoke/scheduler/SchedulerComponents.java
@@ -21,8 +21,9 @@
                     reservations::evictionUnits);
     final KeyOrdering keyOrdering =
             new KeyOrdering(keySequences, dispatchQueue, eviction, settings, turn);
+    final ExecutedRequests executedRequests = new ExecutedRequests(targets, settings, turn);
     final PendingRequests pendingRequests =
-            new PendingRequests(requestsById, dispatchQueue, keyOrdering);
+            new PendingRequests(requestsById, dispatchQueue, keyOrdering, executedRequests);
     final WarmUpBudget warmUpBudget = new WarmUpBudget(targets, settings, turn);
     final SlowStart slowStart =
             new SlowStart(targets, dispatchQueue, settings, turn, warmUpBudget, tuning);
@@ -91,6 +92,9 @@
                     placement,
                     fairQueue,
                     warmUpBudget,
+                    executedRequests,
+                    retryPolicy,
+                    completionPolicy,
                     tuning);
     final AttemptCompletion attemptCompletion =
             new AttemptCompletion(
--- a/core/src/main/java/milletyoke/scheduler/VolumeState.java
+++ b/core/src/main/java/milletyoke/scheduler/VolumeState.java
@@ -8,6 +8,9 @@
     /** Number of pending requests. */
     int pendingCount;
 
+    /** Number of ids of this volume that are remembered or reserved as executed. */
+    int executedIdCount;
+
     /** Number of flows at shards, which must be evicted before the volume. */
     int flowCount;
 
--- a/core/src/main/java/milletyoke/scheduler/api/Event.java
+++ b/core/src/main/java/milletyoke/scheduler/api/Event.java
@@ -51,6 +51,8 @@
      * @param timeLeftMicros time until the client gives up
      * @param initiatorCount number of initiators through which the volume sends
      * @param units size of the request
+     * @param transactionId the client's id of the request, under which it may come again; null for
+     *     none
      */
     record RequestReceived(
             String id,
@@ -61,8 +63,33 @@
             String plan,
             String requestClass,
             int initiatorCount,
-            double units)
-            implements Event {}
+            double units,
+            String transactionId)
+            implements Event {
+        /** Creates the event of a request that cannot be recognized if it comes again. */
+        public RequestReceived(
+                String id,
+                int shard,
+                String extent,
+                String volume,
+                long timeLeftMicros,
+                String plan,
+                String requestClass,
+                int initiatorCount,
+                double units) {
+            this(
+                    id,
+                    shard,
+                    extent,
+                    volume,
+                    timeLeftMicros,
+                    plan,
+                    requestClass,
+                    initiatorCount,
+                    units,
+                    null);
+        }
+    }
 
     /**
      * The last byte of the attempt in flight was handed to the connection to its target. Precedes
--- a/core/src/main/java/milletyoke/scheduler/api/SchedulerSettings.java
+++ b/core/src/main/java/milletyoke/scheduler/api/SchedulerSettings.java
@@ -9,6 +9,8 @@
  *
  * @param initiatorCount number of initiators in the fleet
  * @param mustWatchEndpoints whether to watch service discovery for changes
+ * @param longestDeadlineMicros the longest time that a client waits, over all request classes; 0 if
+ *     it is unknown
  */
 public record SchedulerSettings(
         int initiatorCount,
@@ -16,7 +18,19 @@
         List<ServicePlan> plans,
         Capabilities capabilities,
         RuleLimits limits,
-        boolean mustWatchEndpoints) {
+        boolean mustWatchEndpoints,
+        long longestDeadlineMicros) {
+
+    /** Creates settings of which the longest deadline is unknown. */
+    public SchedulerSettings(
+            int initiatorCount,
+            List<RequestClass> requestClasses,
+            List<ServicePlan> plans,
+            Capabilities capabilities,
+            RuleLimits limits,
+            boolean mustWatchEndpoints) {
+        this(initiatorCount, requestClasses, plans, capabilities, limits, mustWatchEndpoints, 0);
+    }
 
     /**
      * Whether a request may be executed more than once; keywords are those of the configuration.
--- a/gateway/src/main/java/milletyoke/gateway/loop/TrackedRequest.java
+++ b/gateway/src/main/java/milletyoke/gateway/loop/TrackedRequest.java
@@ -52,7 +52,8 @@
                 request.getPlan(),
                 request.getRequestClass(),
                 Math.max(1, request.getInitiatorCount()),
-                request.getUnits());
+                request.getUnits(),
+                request.getIdempotencyKey().isEmpty() ? null : request.getIdempotencyKey());
     }
 
     /** Records an attempt that is about to be sent; returns its number, counted from 0. */
